--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# make demo   the main job, end to end on loopback
+# make test   every test, then one line with the counts
+BUILD ?= build
+
+.PHONY: build demo test lint bench capacity soak format clean
+build:
+	@.ci/install
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
+	@cmake --build $(BUILD)
+
+test: build
+	@.ci/test $(BUILD)
+
+lint: build
+	@.ci/lint $(BUILD)
+
+format:
+	@git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs clang-format -i
+
+clean:
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/packages/base/include/citrongap/base/hash.h
@@ -0,0 +1,21 @@
+// Hashing that is the same in every process (xxHash, fixed seed).
+#ifndef CITRONGAP_BASE_HASH_H
+#define CITRONGAP_BASE_HASH_H
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace citrongap {
+
+std::uint64_t stableHash(std::string_view text);
+
+/// Rendezvous hashing: the index of the node with the highest weight for
+/// `key`, or `nodes.size()` when there is none. Removing a node moves only the
+/// keys that it held.
+std::size_t rendezvousPick(std::string_view key,
+                           const std::vector<std::string_view> &nodes);
+
+} // namespace citrongap
+
+#endif // CITRONGAP_BASE_HASH_H
--- /dev/null
+++ b/packages/base/src/findings.cpp
@@ -0,0 +1,23 @@
+// Collection and printing of findings.
+#include "citrongap/base/findings.h"
+
+#include <utility>
+
+namespace citrongap {
+
+void Findings::add(std::string place, std::string message) {
+  Items.push_back({std::move(place), std::move(message)});
+}
+
+void Findings::append(const Findings &other) {
+  Items.insert(Items.end(), other.Items.begin(), other.Items.end());
+}
+
+std::string Findings::text() const {
+  std::string buf;
+  for (const Finding &it : Items)
+    buf += it.Place + ": " + it.Message + "\n";
+  return buf;
+}
+
+} // namespace citrongap
