net package: one loop, HTTP client with deadlines, HTTP server with limits

A response without its whole declared length is an error, never an answer; a request past its deadline is cancelled and its connection not used again.

--- /dev/null
+++ b/packages/net/include/citrongap/net/http_client.h
@@ -0,0 +1,53 @@
+// HTTP calls with a deadline each, over kept connections.
+#ifndef CITRONGAP_NET_HTTP_CLIENT_H
+#define CITRONGAP_NET_HTTP_CLIENT_H
+
+#include "citrongap/base/time.h"
+#include "citrongap/net/endpoint.h"
+#include "citrongap/net/event_loop.h"
+#include "citrongap/net/http_message.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace citrongap {
+
+class HttpClient {
+public:
+  using Callback = std::function<void(HttpResult)>;
+
+  /// `localIp` is the source address of its connections; empty for any.
+  HttpClient(EventLoop &loop, std::string localIp);
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  /// Calls back exactly once, never before returning, and not after the client
+  /// is destroyed. Refuses with `NotSent` past `MaxConnections` to `to`.
+  void call(const Endpoint &to, HttpRequest request, MonoTime deadline,
+            Callback callback);
+
+  /// Connections to one endpoint, at the most.
+  static constexpr std::size_t MaxConnections = 64;
+
+private:
+  struct Connection;
+  struct Pool;
+  struct Call;
+
+  Connection *idleConnection(const Endpoint &to);
+  void finish(Call *call, HttpResult result);
+
+  EventLoop &Loop;
+  std::string LocalIp;
+  std::map<Endpoint, std::unique_ptr<Pool>> Pools;
+  /// Calls in flight, by address.
+  std::map<Call *, std::unique_ptr<Call>> Calls;
+};
+
+} // namespace citrongap
+
+#endif // CITRONGAP_NET_HTTP_CLIENT_H
--- /dev/null
+++ b/packages/net/src/http_server.cpp
@@ -0,0 +1,126 @@
+// evhttp server: turns requests into values and answers into replies.
+#include "citrongap/net/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <utility>
+
+namespace citrongap {
+
+struct HttpResponder::State {
+  evhttp_request *Request = nullptr;
+
+  void send(const HttpResponse &response) {
+    evhttp_request *request = std::exchange(Request, nullptr);
+    if (!request)
+      return;
+    evbuffer *body = evbuffer_new();
+    evbuffer_add(body, response.Body.data(), response.Body.size());
+    evhttp_add_header(evhttp_request_get_output_headers(request),
+                      "Content-Type", response.ContentType.c_str());
+    // libevent frees the request by itself when the caller has gone.
+    evhttp_send_reply(request, response.Status, nullptr, body);
+    evbuffer_free(body);
+  }
+
+  ~State() { send({500, R"({"error":"no answer was given"})"}); }
+};
+
+HttpResponder::HttpResponder(evhttp_request *request)
+    : Shared(std::make_shared<State>()) {
+  Shared->Request = request;
+}
+
+void HttpResponder::send(const HttpResponse &response) const {
+  Shared->send(response);
+}
+
+bool HttpResponder::sent() const { return Shared->Request == nullptr; }
+
+namespace {
+
+const char *methodOf(evhttp_request *request) {
+  switch (evhttp_request_get_command(request)) {
+  case EVHTTP_REQ_GET:
+    return "GET";
+  case EVHTTP_REQ_POST:
+    return "POST";
+  case EVHTTP_REQ_PUT:
+    return "PUT";
+  case EVHTTP_REQ_DELETE:
+    return "DELETE";
+  default:
+    return "OTHER";
+  }
+}
+
+HttpRequest readRequest(evhttp_request *request) {
+  HttpRequest out;
+  out.Method = methodOf(request);
+  out.Target = evhttp_request_get_uri(request);
+  evbuffer *body = evhttp_request_get_input_buffer(request);
+  out.Body.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, out.Body.data(), out.Body.size());
+  char *ip = nullptr;
+  std::uint16_t port = 0;
+  if (auto *connection = evhttp_request_get_connection(request))
+    evhttp_connection_get_peer(connection, &ip, &port);
+  out.Peer = ip ? ip : "";
+  return out;
+}
+
+} // namespace
+
+HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, Handler handler)
+    : Limits(limits), Handle(std::move(handler)),
+      Http(evhttp_new(loop.base())) {
+  evhttp_set_max_body_size(Http, static_cast<ev_ssize_t>(Limits.MaxBodyBytes));
+  evhttp_set_max_headers_size(Http, 16 << 10);
+  evhttp_set_timeout(Http, static_cast<int>(Limits.IdleTimeout.count()));
+  evhttp_set_gencb(
+      Http,
+      [](evhttp_request *request, void *arg) {
+        static_cast<HttpServer *>(arg)->onRequest(request);
+      },
+      this);
+}
+
+HttpServer::~HttpServer() {
+  for (auto *it : Open)
+    evhttp_connection_set_closecb(it, nullptr, nullptr);
+  evhttp_free(Http);
+}
+
+bool HttpServer::listen(const Endpoint &at) {
+  auto *socket = evhttp_bind_socket_with_handle(Http, at.Ip.c_str(), at.Port);
+  if (socket)
+    Sockets.insert(socket);
+  return socket != nullptr;
+}
+
+void HttpServer::stopAccepting() {
+  for (void *it : Sockets)
+    evhttp_del_accept_socket(Http, static_cast<evhttp_bound_socket *>(it));
+  Sockets.clear();
+}
+
+void HttpServer::onRequest(evhttp_request *request) {
+  auto *connection = evhttp_request_get_connection(request);
+  if (Open.insert(connection).second)
+    evhttp_connection_set_closecb(connection, onClosed, this);
+  const HttpResponder responder(request);
+  if (Open.size() > Limits.MaxConnections) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
+                      "close");
+    responder.send({503, R"({"error":"too many connections; not run"})"});
+    return;
+  }
+  Handle(readRequest(request), responder);
+}
+
+void HttpServer::onClosed(evhttp_connection *connection, void *arg) {
+  static_cast<HttpServer *>(arg)->Open.erase(connection);
+}
+
+} // namespace citrongap
