--- /dev/null
+++ b/packages/policy/src/pod_scheduler_test.cpp
@@ -0,0 +1,62 @@
+// The scheduler of one pod: whole gangs, class order, deadlines.
+#include "citrongap/policy/pod_scheduler.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace citrongap;
+
+namespace {
+
+const WallTime Noon = wallFromMillis(1000000);
+const MonoTime Start = monoFromMillis(0);
+
+Configuration oneAccount() {
+  Configuration lists;
+  lists.Accounts[ClientAccountId("a")] = {ClientAccountId("a"), PlanId("p")};
+  lists.Plans[PlanId("p")].Plan = PlanId("p");
+  return lists;
+}
+
+JobRequest job(const std::string &key, std::uint32_t gang) {
+  JobRequest it;
+  it.Id = {ClientAccountId("a"), RequestKey(key)};
+  it.Gang.Count = gang;
+  it.Deadline = Noon + Millis(1000);
+  return it;
+}
+
+PodScheduler podOf(std::uint32_t servers) {
+  PodScheduler pod(PodId("pod"), DataCentreId("dc"));
+  pod.configure(oneAccount(), Start);
+  for (std::uint32_t i = 0; i < servers; ++i)
+    pod.setServer({BackendServerId("s" + std::to_string(i)),
+                   RackId("r0"),
+                   {8},
+                   ServerState::Live},
+                  Start);
+  return pod;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_gang_starts_whole_or_waits) {
+  PodScheduler pod = podOf(2);
+  pod.submit(job("big", 16), Noon, Start);
+  const auto first = pod.decide(Noon, Start);
+  BOOST_REQUIRE(first.size() == 1U);
+  BOOST_TEST(std::get<StartJob>(first[0]).Where.Parts.size() == 2U);
+  pod.submit(job("next", 9), Noon, Start);
+  BOOST_TEST(pod.decide(Noon, Start).empty());
+  pod.jobEnded(job("big", 16).Id, {}, Start);
+  BOOST_TEST(pod.decide(Noon, Start).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_past_its_deadline_is_refused_as_not_run) {
+  PodScheduler pod = podOf(1);
+  pod.submit(job("a", 8), Noon, Start);
+  pod.decide(Noon, Start);
+  pod.submit(job("b", 8), Noon, Start);
+  const auto later = pod.decide(Noon + Millis(2000), Start + Millis(2000));
+  BOOST_REQUIRE(later.size() == 1U);
+  BOOST_CHECK(std::get<RefuseJob>(later[0]).Job == job("b", 8).Id);
+}
