--- a/packages/net/src/http_test.cpp
+++ b/packages/net/src/http_test.cpp
@@ -2,6 +2,9 @@
 #include "citrongap/net/http_client.h"
 #include "citrongap/net/http_server.h"
 
+#include "citrongap/testing/loopback.h"
+
+#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -14,7 +17,7 @@
 namespace {
 
 constexpr std::uint16_t ServerPort = 18461;
-const Endpoint Server{"127.0.0.1", ServerPort};
+const Endpoint Server{testing::loopbackIp(), ServerPort};
 
 HttpResult callOnce(EventLoop &loop, HttpClient &client,
                     const HttpRequest &request, Millis patience) {
@@ -34,7 +37,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(ServerPort);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_addr.s_addr = inet_addr(Server.Ip.c_str());
     Listener = evconnlistener_new_bind(
         loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
         8, reinterpret_cast<sockaddr *>(&address), sizeof address);
@@ -71,7 +74,7 @@
                                  " " + request.Body});
       });
   BOOST_REQUIRE(server.listen(Server));
-  HttpClient client(loop, "127.0.0.2");
+  HttpClient client(loop, testing::loopbackIp(2));
   const auto result =
       callOnce(loop, client, {"POST", "/a?x=1%202", "body", ""}, Millis(1000));
   BOOST_REQUIRE(std::holds_alternative<HttpResponse>(result));
