The whole path, thin, as separate processes: daemon, command line, make demo

Entry VMs take requests over HTTP, forward them to the owner of their data centre's pod, which holds the servers' leases, places gangs and tells every front how its jobs ended. The demo runs eight entry VMs, 48 backend servers and the platform's stand-in, kills an owner midway and counts from the servers' own records.

Claims of unrepeatable work are not wired yet (OpenClaims).

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,9 @@
 	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
 	@cmake --build $(BUILD)
 
+demo: build
+	@$(BUILD)/testing/demo/citrongap_demo $(BUILD) examples/lahore
+
 test: build
 	@.ci/test $(BUILD)
 
--- /dev/null
+++ b/packages/daemon/include/citrongap/daemon/node.h
@@ -0,0 +1,81 @@
+// One entry VM: wires the parts together and follows the configuration, the
+// members and the VM list.
+#ifndef CITRONGAP_DAEMON_NODE_H
+#define CITRONGAP_DAEMON_NODE_H
+
+#include "citrongap/daemon/http_api.h"
+#include "citrongap/daemon/peer_directory.h"
+#include "citrongap/daemon/settings.h"
+#include "citrongap/ledger/configuration_follower.h"
+#include "citrongap/peer/tcp_peer_link.h"
+#include "citrongap/platform/http_ports.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace citrongap {
+
+class Node final : public NodeServices {
+public:
+  Node(EventLoop &loop, Settings settings);
+  ~Node() override;
+
+  /// False, after a log line, when an address can't be bound.
+  bool start();
+  /// Leaves by plan: hands over the pod, answers every open request, then stops
+  /// the loop.
+  void drain();
+
+  const Configuration &configuration() const override;
+  Revision revision() const override;
+  PodId podFor(const JobRequest &job) const override;
+  std::string statusJson() const override;
+  std::string configurationJson() const override;
+  std::string metricsText() const override;
+  void publish(const std::string &body,
+               std::function<void(HttpResponse)> callback) override;
+  bool leaving() const override { return Leaving; }
+
+private:
+  void fetchVmList();
+  void onVmList(const VmList &list);
+  void onMemberChanged(const Member &member);
+  void fetchConfigurationFrom(const Member &member);
+  void checkOwnership();
+  void onPeerRequest(const EntryVmId &from, const std::string &body,
+                     const PeerResponder &respond);
+  void takeHandOver(const HandOverPod &message);
+  void handOverPod();
+  void finishDrain();
+
+  EventLoop &Loop;
+  Settings Config;
+  HttpClient Http;
+  HttpLogPort LogService;
+  HttpVmListPort VmService;
+  HttpBackendPort Backends;
+  TcpPeerLink Link;
+  std::unique_ptr<Membership> Members;
+  ConfigurationFollower Follower;
+  std::unique_ptr<ClaimPort> Claims;
+  PeerDirectory Directory;
+  PodOwner Owner;
+  JobFront Front;
+  HttpApi Api;
+  HttpServer Server;
+  bool Leaving = false;
+  bool VmListKnown = false;
+  MonoTime DrainUntil;
+  /// Until then a planned hand-over of the pod may still arrive.
+  std::optional<MonoTime> AwaitHandOverUntil;
+  std::optional<EntryVmId> LastOwner;
+  bool FetchInFlight = false;
+  Timer VmTimer;
+  Timer OwnershipTimer;
+  Timer DrainTimer;
+};
+
+} // namespace citrongap
+
+#endif // CITRONGAP_DAEMON_NODE_H
--- /dev/null
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -0,0 +1,138 @@
+// The owner of one pod: holds the leases of its servers, decides what starts,
+// carries the decisions out and tells every front how its jobs ended.
+#ifndef CITRONGAP_DAEMON_POD_OWNER_H
+#define CITRONGAP_DAEMON_POD_OWNER_H
+
+#include "citrongap/base/random.h"
+#include "citrongap/daemon/claim_port.h"
+#include "citrongap/daemon/gang_run.h"
+#include "citrongap/daemon/job_messages.h"
+#include "citrongap/daemon/server_session.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace citrongap {
+
+/// Port to the fronts that wait for a job. Calls back with true once the front
+/// took the message, with false when it could not be reached.
+using FrontNotifier =
+    std::function<void(const EntryVmId &front, const JobEnded &message,
+                       std::function<void(bool)>)>;
+
+class PodOwner {
+public:
+  PodOwner(EventLoop &loop, BackendPort &port, ClaimPort &claims,
+           EntryVmId self, DataCentreId dataCentre, PodTerms terms,
+           FrontNotifier notify);
+  ~PodOwner();
+
+  const PodId &pod() const { return Pod; }
+  bool active() const { return Active; }
+
+  /// Takes the pod over. `leases` are tokens from a planned hand-over.
+  void activate(const std::map<BackendServerId, FencingToken> &leases);
+  /// Lets go of the pod: nothing is renewed or started any more.
+  void deactivate();
+  /// Lets go of the pod and gives what a successor needs.
+  HandOverPod handOver();
+
+  void configure(const Configuration &configuration);
+  /// The pod's servers as the VM list shows them; leaving ones get no new work.
+  void setServers(const std::vector<BackendServer> &servers);
+
+  /// Queues a job for `front`; gives what is known of it already.
+  JobView submit(const JobRequest &job, const std::optional<EntryVmId> &front);
+  JobView view(const JobId &job) const;
+  /// Cancels; the outcome says which won. Calls back when it is known.
+  void cancel(const JobId &job, std::function<void(JobView)> callback);
+
+  PodSummary summary() const;
+  std::map<ClientAccountId, std::uint32_t> queueLengths() const;
+  std::vector<BackendServerId> unreadyServers() const;
+  /// Starts are held back until the servers told what runs.
+  bool recovering() const { return Recovering; }
+
+private:
+  struct OwnedJob {
+    JobRequest Job;
+    std::set<EntryVmId> Fronts;
+    JobStage Stage = JobStage::Waiting;
+    /// Set when ended.
+    std::optional<Outcome> Ended;
+    std::unique_ptr<GangRun> Run;
+    std::uint32_t Attempts = 0;
+    bool CancelAsked = false;
+    std::vector<std::function<void(JobView)>> CancelCallbacks;
+    /// Ended tasks that servers keep until every front knows the outcome.
+    std::vector<std::pair<BackendServerId, TaskId>> Unacknowledged;
+  };
+  /// Tasks of one attempt that servers told of before it was adopted.
+  struct FoundAttempt {
+    AttemptRecord Record;
+    std::vector<TaskState> States;
+  };
+
+  ServerSession *session(const BackendServerId &server);
+  void addSession(const BackendServer &server,
+                  std::optional<FencingToken> previous);
+  void onServerReady(const BackendServer &about);
+  void onTask(const BackendServerId &server, const TaskState &state);
+  void finishRecovery();
+  void adoptFound(const FoundAttempt &found);
+  OwnedJob &knownJob(const JobRequest &job);
+  void queue(const JobRequest &job);
+  void onClaim(const JobId &id, const ClaimAnswer &answer);
+  void poke();
+  void decide();
+  void carryOut(const StartJob &decision);
+  void carryOut(const RevokeJob &decision);
+  void carryOut(const RefuseJob &decision);
+  void onRunEnd(const JobId &id, const RunEnd &end);
+  void retryOrFail(OwnedJob &owned, const RunEnd &end);
+  std::unique_ptr<GangRun> makeRun(const AttemptRecord &record);
+  void endJob(const JobId &id, const Outcome &outcome);
+  void recordEnd(const JobId &id);
+  void tellFronts(const JobId &id);
+  void tell(const JobId &id, const EntryVmId &front, bool final);
+  void onAllTold(const JobId &id, bool final);
+  void acknowledgeTasks(OwnedJob &owned);
+  void tick();
+
+  EventLoop &Loop;
+  BackendPort &Port;
+  ClaimPort &Claims;
+  EntryVmId Self;
+  PodId Pod;
+  DataCentreId DataCentre;
+  PodTerms Terms;
+  FrontNotifier Notify;
+  Random Ids = Random::fromDevice();
+  Configuration Lists;
+  std::vector<BackendServer> Servers;
+  std::unique_ptr<PodScheduler> Scheduler;
+  std::map<BackendServerId, std::unique_ptr<ServerSession>> Sessions;
+  std::unordered_map<JobId, OwnedJob> Jobs;
+  std::map<std::string, FoundAttempt> Found;
+  /// Job of each attempt that runs.
+  std::map<std::string, JobId> Attempts;
+  /// Ended attempts, destroyed from the loop.
+  std::vector<std::unique_ptr<GangRun>> Finished;
+  /// Fronts that have not yet taken the current message, by job.
+  std::map<JobId, std::set<EntryVmId>> Untold;
+  bool Active = false;
+  bool Recovering = false;
+  MonoTime RecoverUntil;
+  Timer DecideTimer;
+  Timer Ticker;
+  std::shared_ptr<int> Epoch = std::make_shared<int>(0);
+};
+
+} // namespace citrongap
+
+#endif // CITRONGAP_DAEMON_POD_OWNER_H
--- /dev/null
+++ b/packages/daemon/src/node_status.cpp
@@ -0,0 +1,160 @@
+// What an entry VM tells of itself: status, configuration, metrics; and the
+// publication of configuration changes.
+#include "citrongap/daemon/job_json.h"
+#include "citrongap/daemon/node.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace citrongap {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Seconds PublishPatience{10};
+constexpr int BadRequest = 400;
+constexpr int Conflict = 409;
+constexpr int Unavailable = 503;
+
+const char *nameOf(MemberState it) {
+  switch (it) {
+  case MemberState::Alive:
+    return "alive";
+  case MemberState::Suspect:
+    return "suspect";
+  case MemberState::Dead:
+    return "dead";
+  case MemberState::Leaving:
+    return "leaving";
+  }
+  return "unknown";
+}
+
+json membersJson(const std::vector<Member> &members) {
+  json out = json::array();
+  for (const auto &it : members)
+    out.push_back({{"id", it.Id.str()},
+                   {"data_centre", it.DataCentre.str()},
+                   {"state", nameOf(it.State)},
+                   {"revision", it.InForce.value()}});
+  return out;
+}
+
+HttpResponse publishResponse(const PublishResult &result) {
+  return std::visit(
+      Overloaded{
+          [](const ConfigurationAccepted &it) {
+            return HttpResponse{
+                200,
+                json{{"accepted", true}, {"revision", it.At.value()}}.dump()};
+          },
+          [](const ConfigurationRefused &it) {
+            json findings = json::array();
+            for (const auto &finding : it.Found.items())
+              findings.push_back(
+                  {{"place", finding.Place}, {"message", finding.Message}});
+            return HttpResponse{
+                Conflict,
+                json{{"accepted", false}, {"findings", findings}}.dump()};
+          },
+          [](const Unconfirmed &it) {
+            return HttpResponse{
+                Unavailable,
+                json{{"accepted", nullptr},
+                     {"error", "the change is unconfirmed: " + it.Reason +
+                                   "; look at the revision before "
+                                   "publishing again"}}
+                    .dump()};
+          }},
+      result);
+}
+
+} // namespace
+
+const Configuration &Node::configuration() const {
+  return Follower.configuration();
+}
+
+Revision Node::revision() const { return Follower.revision(); }
+
+PodId Node::podFor(const JobRequest &job) const {
+  const auto &centres = configuration().DataCentres;
+  const auto own = centres.find(Config.DataCentre);
+  if (own != centres.end() && own->second.total() >= job.Gang)
+    return PodId(own->first.str());
+  for (const auto &[id, it] : centres)
+    if (it.total() >= job.Gang)
+      return PodId(id.str());
+  return {};
+}
+
+std::string Node::statusJson() const {
+  const PodSummary summary = Owner.summary();
+  json out{{"entry_vm", Config.Self.str()},
+           {"data_centre", Config.DataCentre.str()},
+           {"leaving", Leaving},
+           {"revision", revision().value()},
+           {"log_reachable", Follower.logReachable()},
+           {"open_requests", Api.openRequests()},
+           {"open_jobs", Front.openJobs()},
+           {"members", membersJson(Members->members())}};
+  out["pod"] = {{"id", Owner.pod().str()},
+                {"owner", Directory.ownerOf(Owner.pod())},
+                {"owned_here", Owner.active()}};
+  if (!Owner.active())
+    return out.dump();
+  json queues = json::object();
+  for (const auto &[account, n] : Owner.queueLengths())
+    queues[account.str()] = n;
+  json unready = json::array();
+  for (const auto &it : Owner.unreadyServers())
+    unready.push_back(it.str());
+  out["pod"].update({{"recovering", Owner.recovering()},
+                     {"accelerators", summary.Total.Count},
+                     {"free", summary.Free.Count},
+                     {"largest_free", summary.LargestFree.Count},
+                     {"queued", summary.QueuedJobs},
+                     {"running", summary.RunningJobs},
+                     {"quarantined", summary.QuarantinedServers},
+                     {"queues", queues},
+                     {"unready_servers", unready}});
+  return out.dump();
+}
+
+std::string Node::configurationJson() const {
+  return json{{"revision", revision().value()},
+              {"state", Follower.exportState()}}
+      .dump();
+}
+
+std::string Node::metricsText() const {
+  const PodSummary summary = Owner.summary();
+  return fmt::format("# TYPE citrongap_configuration_revision gauge\n"
+                     "citrongap_configuration_revision {}\n"
+                     "# TYPE citrongap_open_requests gauge\n"
+                     "citrongap_open_requests {}\n"
+                     "# TYPE citrongap_pod_free_accelerators gauge\n"
+                     "citrongap_pod_free_accelerators {}\n",
+                     revision().value(), Api.openRequests(),
+                     summary.Free.Count);
+}
+
+void Node::publish(const std::string &body,
+                   std::function<void(HttpResponse)> callback) {
+  const auto record = decodeRecord(body);
+  const auto *change = std::get_if<ConfigurationChange>(&record);
+  if (!change) {
+    Findings findings;
+    findings.add("/", "is not a configuration change");
+    callback({BadRequest, findingsJson(findings)});
+    return;
+  }
+  Follower.publish(
+      *change, monoNow() + PublishPatience,
+      [callback = std::move(callback)](const PublishResult &result) {
+        callback(publishResponse(result));
+      });
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -0,0 +1,268 @@
+// A pod's owner against fake backend servers, under losses and silences.
+#include "citrongap/daemon/pod_owner.h"
+#include "fake_backends.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace citrongap;
+
+namespace {
+
+constexpr Millis Patience{4000};
+const EntryVmId FrontA("front-a");
+const EntryVmId FrontB("front-b");
+
+PodTerms shortTerms() {
+  PodTerms terms;
+  terms.LeaseTerm = Millis(300);
+  terms.TaskTerm = Millis(900);
+  terms.SyncWait = Millis(100);
+  terms.StartBy = Millis(300);
+  terms.MemberLossAfter = Millis(500);
+  return terms;
+}
+
+class FakeClaims final : public ClaimPort {
+public:
+  void claim(const PodId &, const JobRequest &,
+             std::function<void(ClaimAnswer)> callback) override {
+    callback(Next);
+  }
+  void accepted(const PodId &, const JobRequest &) override {}
+  void ended(const PodId &, const JobRequest &, const Outcome &,
+             std::function<void()> callback) override {
+    callback();
+  }
+
+  ClaimAnswer Next = ClaimGranted{};
+};
+
+/// One told message, in order.
+struct Told {
+  EntryVmId Front;
+  Outcome Ended;
+  bool Final;
+};
+
+struct Fixture {
+  explicit Fixture(unsigned servers = 4)
+      : Servers(Loop, servers), Owner(makeOwner("owner-1")) {
+    Owner->configure(lists());
+    Owner->setServers(Servers.list());
+    Owner->activate({});
+  }
+
+  std::unique_ptr<PodOwner> makeOwner(const std::string &name) {
+    return std::make_unique<PodOwner>(
+        Loop, Servers, Claims, EntryVmId(name), DataCentreId("dc"),
+        shortTerms(),
+        [this](const EntryVmId &front, const JobEnded &message,
+               std::function<void(bool)> callback) {
+          Messages.push_back({front, message.Ended, message.Final});
+          if (message.Final)
+            Ended[message.Job] = message.Ended;
+          callback(true);
+        });
+  }
+
+  static Configuration lists() {
+    Configuration out;
+    out.Accounts[ClientAccountId("a")] = {ClientAccountId("a"), PlanId("p")};
+    out.Plans[PlanId("p")].Plan = PlanId("p");
+    out.DataCentres[DataCentreId("dc")] = {DataCentreId("dc"), 1, 6, {8}};
+    return out;
+  }
+
+  static JobRequest job(const std::string &key, std::uint32_t gang,
+                        bool repeatable = true) {
+    JobRequest it;
+    it.Id = {ClientAccountId("a"), RequestKey(key)};
+    it.Gang.Count = gang;
+    it.Repeatable = repeatable;
+    it.Deadline = wallNow() + Seconds(60);
+    return it;
+  }
+
+  bool until(const std::function<bool()> &condition) {
+    const MonoTime limit = monoNow() + Patience;
+    while (!condition() && monoNow() < limit)
+      Loop.runUntil(monoNow() + Millis(5));
+    return condition();
+  }
+
+  bool ended(const JobRequest &job) { return Ended.contains(job.Id); }
+
+  template <typename T> bool endedAs(const JobRequest &job) {
+    return ended(job) && std::holds_alternative<T>(Ended.at(job.Id));
+  }
+
+  EventLoop Loop;
+  FakeBackends Servers;
+  FakeClaims Claims;
+  std::vector<Told> Messages;
+  std::map<JobId, Outcome> Ended;
+  std::unique_ptr<PodOwner> Owner;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_gang_runs_whole_and_its_front_gets_all_results) {
+  Fixture site;
+  const auto job = Fixture::job("k", 16);
+  site.Owner->submit(job, FrontA);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  const auto result = nlohmann::json::parse(
+      std::get<Done>(site.Ended.at(job.Id)).Result, nullptr, false);
+  BOOST_REQUIRE(result["parts"].size() == 2U);
+  for (unsigned i = 0; i < 2; ++i) {
+    BOOST_TEST(result["parts"][i]["result"] == "k");
+    BOOST_TEST(result["parts"][i]["part"] == i);
+  }
+  BOOST_TEST(site.Servers.releases(job.Id) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_submitted_twice_runs_once) {
+  Fixture site;
+  const auto job = Fixture::job("k", 1);
+  site.Owner->submit(job, FrontA);
+  site.Owner->submit(job, FrontB);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  site.Owner->submit(job, FrontA);
+  site.Loop.runUntil(monoNow() + Millis(400));
+  BOOST_TEST(site.Servers.releases(job.Id) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_release_answer_starts_nothing_twice) {
+  Fixture site;
+  const auto job = Fixture::job("k", 8, false);
+  site.Servers.loseReleaseAnswers(1);
+  site.Owner->submit(job, FrontA);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<Done>(job));
+  BOOST_TEST(site.Servers.releases(job.Id) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_successor_adopts_a_running_gang_after_its_owner_froze) {
+  Fixture site;
+  site.Servers.setRun(Millis(1200));
+  const auto job = Fixture::job("k", 16);
+  site.Owner->submit(job, FrontA);
+  BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
+  site.Owner->deactivate();
+  auto successor = site.makeOwner("owner-2");
+  successor->configure(Fixture::lists());
+  successor->setServers(site.Servers.list());
+  successor->activate({});
+  successor->submit(job, FrontA);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<Done>(job));
+  BOOST_TEST(site.Servers.releases(job.Id) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_hand_over_needs_no_lapse) {
+  Fixture site;
+  site.Servers.setRun(Millis(300));
+  const auto job = Fixture::job("k", 16);
+  site.Owner->submit(job, FrontA);
+  BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
+  const HandOverPod message = site.Owner->handOver();
+  BOOST_TEST(message.Leases.size() == 4U);
+  BOOST_TEST(message.Jobs.size() == 1U);
+  auto successor = site.makeOwner("owner-2");
+  successor->configure(Fixture::lists());
+  successor->setServers(site.Servers.list());
+  const MonoTime begin = monoNow();
+  successor->activate({message.Leases.begin(), message.Leases.end()});
+  successor->submit(job, FrontA);
+  BOOST_REQUIRE(site.until([&] { return !successor->recovering(); }));
+  BOOST_CHECK(monoNow() - begin < shortTerms().LeaseTerm);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_TEST(site.Servers.releases(job.Id) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_gang_that_lost_a_server_stops_on_the_others_within_its_bound) {
+  Fixture site(2);
+  site.Servers.setRun(Millis(60000));
+  const auto job = Fixture::job("k", 16);
+  site.Owner->submit(job, FrontA);
+  BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
+  site.Servers.setSilent(BackendServerId("s1"), true);
+  const PodTerms terms = shortTerms();
+  const MonoTime lapsed = monoNow() + terms.TaskTerm + terms.MemberLossAfter;
+  BOOST_TEST(site.until([&] { return site.Servers.running(job.Id) == 0; }));
+  BOOST_CHECK(monoNow() < lapsed);
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_waiting_job_never_runs) {
+  Fixture site(1);
+  site.Servers.setRun(Millis(400));
+  const auto first = Fixture::job("first", 8);
+  const auto second = Fixture::job("second", 8);
+  site.Owner->submit(first, FrontA);
+  BOOST_REQUIRE(
+      site.until([&] { return site.Servers.running(first.Id) == 1; }));
+  site.Owner->submit(second, FrontA);
+  JobView view;
+  site.Owner->cancel(second.Id, [&](const JobView &it) { view = it; });
+  BOOST_REQUIRE(
+      site.until([&] { return site.ended(first) && site.ended(second); }));
+  BOOST_CHECK(std::holds_alternative<NotRun>(view.Ended));
+  site.Loop.runUntil(monoNow() + Millis(300));
+  BOOST_TEST(site.Servers.releases(second.Id) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(cancelling_a_running_job_stops_it_and_says_that_it_ran) {
+  Fixture site;
+  site.Servers.setRun(Millis(60000));
+  const auto job = Fixture::job("k", 16);
+  site.Owner->submit(job, FrontA);
+  BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
+  site.Owner->cancel(job.Id, [](const JobView &) {});
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<Failed>(job));
+  BOOST_TEST(site.Servers.running(job.Id) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_whose_claim_is_denied_never_reaches_a_server) {
+  Fixture site;
+  site.Claims.Next = ClaimDenied{NotRun{"the log is away", 1000}};
+  const auto job = Fixture::job("k", 1, false);
+  site.Owner->submit(job, FrontA);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<NotRun>(job));
+  BOOST_TEST(site.Servers.releases(job.Id) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(not_run_is_told_to_every_front_before_any_caller) {
+  Fixture site(1);
+  site.Servers.setRun(Millis(1000));
+  const auto first = Fixture::job("first", 8);
+  const auto second = Fixture::job("second", 8);
+  site.Owner->submit(first, FrontA);
+  BOOST_REQUIRE(
+      site.until([&] { return site.Servers.running(first.Id) == 1; }));
+  site.Owner->submit(second, FrontA);
+  site.Owner->submit(second, FrontB);
+  site.Owner->cancel(second.Id, [](const JobView &) {});
+  BOOST_REQUIRE(site.until([&] { return site.ended(second); }));
+  BOOST_REQUIRE(site.Messages.size() == 4U);
+  BOOST_TEST(!site.Messages[0].Final);
+  BOOST_TEST(!site.Messages[1].Final);
+  BOOST_TEST(site.Messages[2].Final);
+  BOOST_TEST(site.Messages[3].Final);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_server_gets_no_new_work) {
+  Fixture site(2);
+  auto list = site.Servers.list();
+  list[0].Leaving = true;
+  site.Owner->setServers(list);
+  BOOST_REQUIRE(site.until([&] { return !site.Owner->recovering(); }));
+  for (int i = 0; i < 10; ++i)
+    site.Owner->submit(Fixture::job("k" + std::to_string(i), 1), FrontA);
+  BOOST_REQUIRE(site.until([&] { return site.Ended.size() == 10; }));
+  BOOST_TEST(site.Servers.prepares(BackendServerId("s0")) == 0U);
+  BOOST_TEST(site.Servers.prepares(BackendServerId("s1")) == 10U);
+}
--- /dev/null
+++ b/testing/support/include/citrongap/testing/processes.h
@@ -0,0 +1,36 @@
+// Child processes of a test: started, signalled and ended by pid.
+#ifndef CITRONGAP_TESTING_PROCESSES_H
+#define CITRONGAP_TESTING_PROCESSES_H
+
+#include <map>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace citrongap::testing {
+
+/// Ends with SIGKILL whatever it started and still runs.
+class Processes {
+public:
+  Processes() = default;
+  ~Processes();
+  Processes(const Processes &) = delete;
+  Processes &operator=(const Processes &) = delete;
+
+  /// Starts `command`; its standard error goes to `logPath`. False when it
+  /// can't be started.
+  bool start(const std::string &name, const std::vector<std::string> &command,
+             const std::string &logPath);
+  /// False when no such process runs.
+  bool signal(const std::string &name, int number);
+  bool running(const std::string &name);
+  /// Waits for the end; gives the exit code, or -1 after a signal.
+  int wait(const std::string &name);
+
+private:
+  std::map<std::string, pid_t> Pids;
+};
+
+} // namespace citrongap::testing
+
+#endif // CITRONGAP_TESTING_PROCESSES_H
