Keys have a home pod across data centres; the home chooses the pod that runs a job

Ruled out: a second run by the successor in the same pod; the servers' records show both attempts under different pods.

Change: the front sends a key to its home pod (rendezvous hashing over the data centres that are in reach). The home asks the other owners once whether they know the key, else chooses: a pod that can start the job now, else one that holds a guarantee, else the shortest queue. JobEnded names its pod, so that the home's own callers are answered by the home only. Starts, claims and choices wait for the end of recovery.

Left: while two data centres are cut off from each other a repeatable job may run in both; unrepeatable ones need claims, not wired yet.

--- a/packages/daemon/include/citrongap/daemon/http_api.h
+++ b/packages/daemon/include/citrongap/daemon/http_api.h
@@ -20,8 +20,10 @@
 
   virtual const Configuration &configuration() const = 0;
   virtual Revision revision() const = 0;
-  /// The pod that takes a job of this size; empty when none ever holds it.
-  virtual PodId podFor(const JobRequest &job) const = 0;
+  /// The pod that knows this job, or takes it when it is new.
+  virtual PodId homeOf(const JobId &job) const = 0;
+  /// Some pod can hold so large a gang.
+  virtual bool fitsSomePod(Accelerators gang) const = 0;
   virtual std::string statusJson() const = 0;
   virtual std::string configurationJson() const = 0;
   virtual std::string metricsText() const = 0;
--- a/packages/daemon/include/citrongap/daemon/job_front.h
+++ b/packages/daemon/include/citrongap/daemon/job_front.h
@@ -41,7 +41,8 @@
 
 class JobFront {
 public:
-  JobFront(EventLoop &loop, PodDirectory &directory);
+  /// `delegates` submits on behalf of a key's home instead of callers.
+  JobFront(EventLoop &loop, PodDirectory &directory, bool delegates = false);
   ~JobFront();
 
   /// Either the outcome, or the stage that the job had when the wait ended.
@@ -60,9 +61,9 @@
   void guard(const GuardJob &message);
   /// Waits for a job that was submitted here or anywhere in `pod`.
   void await(const PodId &pod, const JobId &job, MonoTime waitUntil,
-             AnswerCallback callback);
+             const AnswerCallback &callback);
   void cancel(const PodId &pod, const JobId &job, MonoTime deadline,
-              AnswerCallback callback);
+              const AnswerCallback &callback);
 
   /// The owner's word on how a job ended.
   void onEnded(const JobEnded &message);
@@ -112,6 +113,7 @@
 
   EventLoop &Loop;
   PodDirectory &Directory;
+  bool Delegates;
   std::unordered_map<JobId, FrontJob> Jobs;
   std::map<std::uint64_t, Waiter> Waiting;
   std::uint64_t NextWaiter = 1;
--- a/packages/daemon/include/citrongap/daemon/job_messages.h
+++ b/packages/daemon/include/citrongap/daemon/job_messages.h
@@ -23,7 +23,11 @@
   JobStage Stage = JobStage::NotKnown;
   /// Meaningful when ended.
   Outcome Ended;
-  template <typename Archive> void serialize(Archive &ar) { ar(Stage, Ended); }
+  /// The pod that queues or runs it; empty when not known.
+  PodId At;
+  template <typename Archive> void serialize(Archive &ar) {
+    ar(Stage, Ended, At);
+  }
 };
 
 /// Front to owner: queue this job and tell `JobEnded` to the sender.
@@ -31,7 +35,11 @@
 struct SubmitJob {
   PodId Pod;
   JobRequest Job;
-  template <typename Archive> void serialize(Archive &ar) { ar(Pod, Job); }
+  /// The key's home chose this pod; it is not to be passed on again.
+  bool Delegated = false;
+  template <typename Archive> void serialize(Archive &ar) {
+    ar(Pod, Job, Delegated);
+  }
 };
 
 /// Front to owner.
@@ -51,11 +59,12 @@
 /// Owner to front. With `Final` false the front only stops submitting the job
 /// again; callers are answered on the final one.
 struct JobEnded {
+  PodId Pod;
   JobId Job;
   Outcome Ended;
   bool Final = true;
   template <typename Archive> void serialize(Archive &ar) {
-    ar(Job, Ended, Final);
+    ar(Pod, Job, Ended, Final);
   }
 };
 
@@ -77,6 +86,13 @@
   }
 };
 
+/// Owner to the owners of other pods, about once a second.
+struct PodReport {
+  PodId Pod;
+  PodSummary Summary;
+  template <typename Archive> void serialize(Archive &ar) { ar(Pod, Summary); }
+};
+
 /// Asks for the configuration that the other side has in force.
 struct FetchConfiguration {
   template <typename Archive> void serialize(Archive &) {}
@@ -90,7 +106,7 @@
 
 using PeerRequest =
     std::variant<SubmitJob, QueryJob, CancelJob, JobEnded, GuardJob,
-                 HandOverPod, FetchConfiguration, Ping>;
+                 HandOverPod, FetchConfiguration, Ping, PodReport>;
 
 /// The receiver does not own the pod.
 struct NotOwner {
--- a/packages/daemon/include/citrongap/daemon/node.h
+++ b/packages/daemon/include/citrongap/daemon/node.h
@@ -29,7 +29,8 @@
 
   const Configuration &configuration() const override;
   Revision revision() const override;
-  PodId podFor(const JobRequest &job) const override;
+  PodId homeOf(const JobId &job) const override;
+  bool fitsSomePod(Accelerators gang) const override;
   std::string statusJson() const override;
   std::string configurationJson() const override;
   std::string metricsText() const override;
@@ -47,6 +48,7 @@
                      const PeerResponder &respond);
   void takeHandOver(const HandOverPod &message);
   void handOverPod();
+  void reportPod();
   void finishDrain();
 
   EventLoop &Loop;
@@ -60,6 +62,7 @@
   ConfigurationFollower Follower;
   std::unique_ptr<ClaimPort> Claims;
   PeerDirectory Directory;
+  PeerBroker Broker;
   PodOwner Owner;
   JobFront Front;
   HttpApi Api;
@@ -73,6 +76,7 @@
   bool FetchInFlight = false;
   Timer VmTimer;
   Timer OwnershipTimer;
+  Timer ReportTimer;
   Timer DrainTimer;
 };
 
--- a/packages/daemon/include/citrongap/daemon/peer_directory.h
+++ b/packages/daemon/include/citrongap/daemon/peer_directory.h
@@ -4,6 +4,7 @@
 #define CITRONGAP_DAEMON_PEER_DIRECTORY_H
 
 #include "citrongap/daemon/job_front.h"
+#include "citrongap/daemon/peer_broker.h"
 #include "citrongap/daemon/pod_owner.h"
 #include "citrongap/peer/membership.h"
 #include "citrongap/peer/peer_link.h"
@@ -20,8 +21,8 @@
 public:
   PeerDirectory(EventLoop &loop, PeerLink &link, Membership &membership);
 
-  /// The owner object of this process and its front, set once both exist.
-  void bind(PodOwner &owner, JobFront &front);
+  /// The parts of this process, set once they exist.
+  void bind(PodOwner &owner, JobFront &front, PeerBroker &broker);
 
   void submit(const SubmitJob &message, MonoTime deadline,
               ViewCallback callback) override;
@@ -38,6 +39,9 @@
   void notify(const EntryVmId &front, const JobEnded &message,
               std::function<void(bool)> callback);
 
+  /// Tells the owners of other pods about the pod of this one.
+  void report(const PodReport &report, const std::vector<PodId> &pods);
+
   /// Answers a request of another entry VM about jobs. False when the request
   /// is of another kind.
   bool serve(const EntryVmId &from, const PeerRequest &request,
@@ -54,6 +58,7 @@
   Membership &Members;
   PodOwner *Owner = nullptr;
   JobFront *Front = nullptr;
+  PeerBroker *Broker = nullptr;
 };
 
 } // namespace citrongap
--- a/packages/daemon/include/citrongap/daemon/pod_owner.h
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -7,6 +7,7 @@
 #include "citrongap/daemon/claim_port.h"
 #include "citrongap/daemon/gang_run.h"
 #include "citrongap/daemon/job_messages.h"
+#include "citrongap/daemon/pod_broker.h"
 #include "citrongap/daemon/server_session.h"
 
 #include <functional>
@@ -15,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace citrongap {
@@ -28,8 +30,8 @@
 class PodOwner {
 public:
   PodOwner(EventLoop &loop, BackendPort &port, ClaimPort &claims,
-           EntryVmId self, DataCentreId dataCentre, PodTerms terms,
-           FrontNotifier notify);
+           PodBroker &broker, EntryVmId self, DataCentreId dataCentre,
+           PodTerms terms, FrontNotifier notify);
   ~PodOwner();
 
   const PodId &pod() const { return Pod; }
@@ -46,8 +48,10 @@
   /// The pod's servers as the VM list shows them; leaving ones get no new work.
   void setServers(const std::vector<BackendServer> &servers);
 
-  /// Queues a job for `front`; gives what is known of it already.
-  JobView submit(const JobRequest &job, const std::optional<EntryVmId> &front);
+  /// Takes a job for `front`; gives what is known of it already. A delegated
+  /// one runs in this pod.
+  JobView submit(const JobRequest &job, const std::optional<EntryVmId> &front,
+                 bool delegated);
   JobView view(const JobId &job) const;
   /// Cancels; the outcome says which won. Calls back when it is known.
   void cancel(const JobId &job, std::function<void(JobView)> callback);
@@ -67,6 +71,10 @@
     std::optional<Outcome> Ended;
     std::unique_ptr<GangRun> Run;
     std::uint32_t Attempts = 0;
+    /// Chosen for this pod by the key's home; not passed on again.
+    bool Delegated = false;
+    /// The pod that queues or runs it; empty until it was chosen.
+    PodId At;
     bool CancelAsked = false;
     std::vector<std::function<void(JobView)>> CancelCallbacks;
     /// Ended tasks that servers keep until every front knows the outcome.
@@ -86,7 +94,10 @@
   void finishRecovery();
   void adoptFound(const FoundAttempt &found);
   OwnedJob &knownJob(const JobRequest &job);
-  void queue(const JobRequest &job);
+  /// Runs it here or has another pod run it.
+  void place(const JobId &id);
+  void admit(const JobId &id);
+  void sendTo(const PodId &pod, const JobId &id);
   void onClaim(const JobId &id, const ClaimAnswer &answer);
   void poke();
   void decide();
@@ -107,6 +118,7 @@
   EventLoop &Loop;
   BackendPort &Port;
   ClaimPort &Claims;
+  PodBroker &Broker;
   EntryVmId Self;
   PodId Pod;
   DataCentreId DataCentre;
@@ -118,6 +130,8 @@
   std::unique_ptr<PodScheduler> Scheduler;
   std::map<BackendServerId, std::unique_ptr<ServerSession>> Sessions;
   std::unordered_map<JobId, OwnedJob> Jobs;
+  /// Submitted during recovery; placed once it is known what runs.
+  std::vector<JobId> Deferred;
   std::map<std::string, FoundAttempt> Found;
   /// Job of each attempt that runs.
   std::map<std::string, JobId> Attempts;
--- a/packages/daemon/src/http_api.cpp
+++ b/packages/daemon/src/http_api.cpp
@@ -150,13 +150,12 @@
         {Unavailable,
          outcomeJson(job.Id, NotRun{"too many open requests", RateRetryMs})});
   ++*Open;
-  const auto submitted =
-      Front.submit(Node.podFor(job), job, monoNow() + *wait,
-                   [this, responder, id = job.Id,
-                    open = Open](const JobFront::Answer &answer) {
-                     --*open;
-                     responder.send(answerResponse(id, answer));
-                   });
+  const auto submitted = Front.submit(
+      Node.homeOf(job.Id), job, monoNow() + *wait,
+      [responder, id = job.Id, open = Open](const JobFront::Answer &answer) {
+        --*open;
+        responder.send(answerResponse(id, answer));
+      });
   if (std::holds_alternative<JobFront::KeyReused>(submitted)) {
     --*Open;
     responder.send(errorResponse(
@@ -172,7 +171,7 @@
         BadRequest,
         fmt::format("wait_ms is not a whole number from 0 to {}", MaxWaitMs)));
   ++*Open;
-  Front.await(Node.podFor(JobRequest{}), job, monoNow() + *wait,
+  Front.await(Node.homeOf(job), job, monoNow() + *wait,
               [responder, job, open = Open](const JobFront::Answer &answer) {
                 --*open;
                 responder.send(answerResponse(job, answer));
@@ -181,7 +180,7 @@
 
 void HttpApi::cancel(const JobId &job, const HttpResponder &responder) {
   ++*Open;
-  Front.cancel(Node.podFor(JobRequest{}), job, monoNow() + CancelPatience,
+  Front.cancel(Node.homeOf(job), job, monoNow() + CancelPatience,
                [responder, job, open = Open](const JobFront::Answer &answer) {
                  --*open;
                  responder.send(answerResponse(job, answer));
@@ -198,7 +197,7 @@
   if (plan && job.Gang > plan->LargestGang)
     findings.add("/gang", fmt::format("is {}, but the plan allows at most {}",
                                       job.Gang.Count, plan->LargestGang.Count));
-  if (plan && Node.podFor(job).empty())
+  if (plan && !Node.fitsSomePod(job.Gang))
     findings.add("/gang",
                  fmt::format("is {}, which no pod holds", job.Gang.Count));
   if (job.Deadline <= wallNow())
--- a/packages/daemon/src/job_front.cpp
+++ b/packages/daemon/src/job_front.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-JobFront::JobFront(EventLoop &loop, PodDirectory &directory)
-    : Loop(loop), Directory(directory) {
+JobFront::JobFront(EventLoop &loop, PodDirectory &directory, bool delegates)
+    : Loop(loop), Directory(directory), Delegates(delegates) {
   Poller = Loop.every(PollInterval, [this] { poll(); });
 }
 
@@ -62,7 +62,7 @@
 }
 
 void JobFront::await(const PodId &pod, const JobId &job, MonoTime waitUntil,
-                     AnswerCallback callback) {
+                     const AnswerCallback &callback) {
   const auto it = Jobs.find(job);
   if (it != Jobs.end()) {
     addWaiter(job, waitUntil, std::move(callback));
@@ -98,7 +98,7 @@
 }
 
 void JobFront::cancel(const PodId &pod, const JobId &job, MonoTime deadline,
-                      AnswerCallback callback) {
+                      const AnswerCallback &callback) {
   const auto it = Jobs.find(job);
   if (it != Jobs.end() && it->second.Final) {
     callback(*it->second.Ended);
@@ -160,7 +160,7 @@
   job.InFlight = true;
   job.Owner = Directory.ownerOf(job.Pod);
   job.MaybeSubmitted = job.MaybeSubmitted || !job.Owner.empty();
-  Directory.submit({job.Pod, job.Job}, monoNow() + OwnerPatience,
+  Directory.submit({job.Pod, job.Job, Delegates}, monoNow() + OwnerPatience,
                    [this, id, alive = std::weak_ptr<int>(Alive)](
                        const std::optional<JobView> &view) {
                      if (!alive.expired())
@@ -208,7 +208,7 @@
         answer(waiter, Jobs.at(id).Stage);
   };
   // An owner elsewhere is the second copy itself.
-  if (Directory.ownedHere(job.Pod))
+  if (Directory.ownedHere(job.Pod) && !Delegates)
     Directory.guard({job.Pod, job.Job}, monoNow() + GuardPatience, accepted);
   else
     accepted(true);
@@ -216,7 +216,7 @@
 
 void JobFront::onEnded(const JobEnded &message) {
   const auto it = Jobs.find(message.Job);
-  if (it == Jobs.end() || it->second.Final)
+  if (it == Jobs.end() || it->second.Final || it->second.Pod != message.Pod)
     return;
   it->second.Ended = message.Ended;
   if (message.Final)
--- a/packages/daemon/src/node.cpp
+++ b/packages/daemon/src/node.cpp
@@ -16,6 +16,7 @@
 constexpr Millis VmListInterval{1000};
 constexpr Millis VmListPatience{2000};
 constexpr Millis OwnershipInterval{200};
+constexpr Millis ReportInterval{1000};
 constexpr Millis HandOverPatience{1000};
 constexpr Seconds DrainLimit{8};
 /// Open requests get their answer for so long before they are told to ask
@@ -41,7 +42,8 @@
                                                       {}})),
       Follower(loop, LogService, Random::fromDevice()),
       Claims(std::make_unique<OpenClaims>()), Directory(loop, Link, *Members),
-      Owner(loop, Backends, *Claims, Config.Self, Config.DataCentre,
+      Broker(loop, Directory),
+      Owner(loop, Backends, *Claims, Broker, Config.Self, Config.DataCentre,
             Config.Terms,
             [this](const EntryVmId &front, const JobEnded &message,
                    std::function<void(bool)> callback) {
@@ -53,7 +55,7 @@
           [this](const HttpRequest &request, const HttpResponder &responder) {
             Api.handle(request, responder);
           }) {
-  Directory.bind(Owner, Front);
+  Directory.bind(Owner, Front, Broker);
 }
 
 Node::~Node() = default;
@@ -76,12 +78,14 @@
   Follower.InForce.connect([this](const Configuration &lists, Revision at) {
     LogLine("revision {} is in force", at.value());
     Owner.configure(lists);
+    Broker.configure(lists);
     Members->setRevision(at);
   });
   Follower.start();
   fetchVmList();
   VmTimer = Loop.every(VmListInterval, [this] { fetchVmList(); });
   OwnershipTimer = Loop.every(OwnershipInterval, [this] { checkOwnership(); });
+  ReportTimer = Loop.every(ReportInterval, [this] { reportPod(); });
   LogLine("{} serves callers on {}, peers on {}", Config.Self.str(),
           Config.Http.str(), Config.Peer.str());
   return true;
@@ -120,6 +124,7 @@
 void Node::onMemberChanged(const Member &member) {
   checkOwnership();
   Front.onOwnersChanged();
+  Broker.onOwnersChanged();
   if (member.Id != Config.Self && member.InForce > revision())
     fetchConfigurationFrom(member);
 }
@@ -158,6 +163,8 @@
   if (monoNow() >= *AwaitHandOverUntil) {
     Owner.activate({});
     Front.onOwnersChanged();
+    Broker.onOwnersChanged();
+    Broker.onOwnersChanged();
   }
 }
 
@@ -187,8 +194,9 @@
     return;
   Owner.activate({message.Leases.begin(), message.Leases.end()});
   for (const auto &it : message.Jobs)
-    Owner.submit(it, std::nullopt);
+    Owner.submit(it, std::nullopt, false);
   Front.onOwnersChanged();
+  Broker.onOwnersChanged();
 }
 
 void Node::handOverPod() {
@@ -203,6 +211,18 @@
                monoNow() + HandOverPatience, [](const PeerResult &) {});
 }
 
+void Node::reportPod() {
+  if (!Owner.active() || Owner.recovering())
+    return;
+  const PodReport report{Owner.pod(), Owner.summary()};
+  Broker.onReport(report);
+  std::vector<PodId> others;
+  for (const auto &[id, it] : configuration().DataCentres)
+    if (id != Config.DataCentre)
+      others.emplace_back(id.str());
+  Directory.report(report, others);
+}
+
 void Node::drain() {
   if (std::exchange(Leaving, true))
     return;
@@ -210,6 +230,7 @@
   Members->leave();
   handOverPod();
   Front.onOwnersChanged();
+  Broker.onOwnersChanged();
   Front.passOn();
   DrainUntil = monoNow() + DrainLimit;
   const MonoTime releaseAt = monoNow() + DrainWaiters;
--- a/packages/daemon/src/node_status.cpp
+++ b/packages/daemon/src/node_status.cpp
@@ -1,8 +1,10 @@
 // What an entry VM tells of itself: status, configuration, metrics; and the
 // publication of configuration changes.
+#include "citrongap/base/hash.h"
 #include "citrongap/daemon/job_json.h"
 #include "citrongap/daemon/node.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -78,15 +80,23 @@
 
 Revision Node::revision() const { return Follower.revision(); }
 
-PodId Node::podFor(const JobRequest &job) const {
+PodId Node::homeOf(const JobId &job) const {
+  std::vector<std::string_view> reachable;
+  for (const auto &[id, it] : configuration().DataCentres) {
+    const bool here = id == Config.DataCentre;
+    if (here || !Directory.ownerOf(PodId(id.str())).empty())
+      reachable.push_back(id.str());
+  }
+  const std::size_t picked = rendezvousPick(job.str(), reachable);
+  if (picked == reachable.size())
+    return PodId(Config.DataCentre.str());
+  return PodId(std::string(reachable[picked]));
+}
+
+bool Node::fitsSomePod(Accelerators gang) const {
   const auto &centres = configuration().DataCentres;
-  const auto own = centres.find(Config.DataCentre);
-  if (own != centres.end() && own->second.total() >= job.Gang)
-    return PodId(own->first.str());
-  for (const auto &[id, it] : centres)
-    if (it.total() >= job.Gang)
-      return PodId(id.str());
-  return {};
+  return std::any_of(centres.begin(), centres.end(),
+                     [&](const auto &it) { return it.second.total() >= gang; });
 }
 
 std::string Node::statusJson() const {
--- a/packages/daemon/src/peer_directory.cpp
+++ b/packages/daemon/src/peer_directory.cpp
@@ -36,9 +36,10 @@
                              Membership &membership)
     : Loop(loop), Link(link), Members(membership) {}
 
-void PeerDirectory::bind(PodOwner &owner, JobFront &front) {
+void PeerDirectory::bind(PodOwner &owner, JobFront &front, PeerBroker &broker) {
   Owner = &owner;
   Front = &front;
+  Broker = &broker;
 }
 
 std::string PeerDirectory::ownerOf(const PodId &pod) const {
@@ -81,7 +82,8 @@
                            ViewCallback callback) {
   if (!ownedHere(message.Pod))
     return ask(message.Pod, message, deadline, std::move(callback));
-  const JobView view = Owner->submit(message.Job, Members.self().Id);
+  const JobView view =
+      Owner->submit(message.Job, Members.self().Id, message.Delegated);
   later([callback = std::move(callback), view] { callback(view); });
 }
 
@@ -128,6 +130,7 @@
                            std::function<void(bool)> callback) {
   if (front == Members.self().Id) {
     Front->onEnded(message);
+    Broker->onEnded(message);
     later([callback = std::move(callback)] { callback(true); });
     return;
   }
@@ -150,6 +153,16 @@
                });
 }
 
+void PeerDirectory::report(const PodReport &report,
+                           const std::vector<PodId> &pods) {
+  for (const auto &pod : pods) {
+    const auto owner = ownerAmong(pod, Members.members());
+    if (owner && owner->Id != Members.self().Id)
+      Link.request(owner->Id, encodeRequest(report), monoNow() + NotifyPatience,
+                   [](const PeerResult &) {});
+  }
+}
+
 bool PeerDirectory::serve(const EntryVmId &from, const PeerRequest &request,
                           const PeerResponder &respond) {
   const auto owned = [&](const PodId &pod) {
@@ -160,7 +173,8 @@
   return std::visit(
       Overloaded{[&](const SubmitJob &it) {
                    if (owned(it.Pod))
-                     respond(encodeAnswer(Owner->submit(it.Job, from)));
+                     respond(encodeAnswer(
+                         Owner->submit(it.Job, from, it.Delegated)));
                    return true;
                  },
                  [&](const QueryJob &it) {
@@ -177,6 +191,7 @@
                  },
                  [&](const JobEnded &it) {
                    Front->onEnded(it);
+                   Broker->onEnded(it);
                    respond(encodeAnswer(Acknowledged{}));
                    return true;
                  },
@@ -185,6 +200,11 @@
                    respond(encodeAnswer(Acknowledged{}));
                    return true;
                  },
+                 [&](const PodReport &it) {
+                   Broker->onReport(it);
+                   respond(encodeAnswer(Acknowledged{}));
+                   return true;
+                 },
                  [](const auto &) { return false; }},
       request);
 }
--- a/packages/daemon/src/pod_owner.cpp
+++ b/packages/daemon/src/pod_owner.cpp
@@ -24,10 +24,11 @@
 } // namespace
 
 PodOwner::PodOwner(EventLoop &loop, BackendPort &port, ClaimPort &claims,
-                   EntryVmId self, DataCentreId dataCentre, PodTerms terms,
-                   FrontNotifier notify)
-    : Loop(loop), Port(port), Claims(claims), Self(std::move(self)),
-      Pod(dataCentre.str()), DataCentre(std::move(dataCentre)), Terms(terms),
+                   PodBroker &broker, EntryVmId self, DataCentreId dataCentre,
+                   PodTerms terms, FrontNotifier notify)
+    : Loop(loop), Port(port), Claims(claims), Broker(broker),
+      Self(std::move(self)), Pod(dataCentre.str()),
+      DataCentre(std::move(dataCentre)), Terms(terms),
       Notify(std::move(notify)) {}
 
 PodOwner::~PodOwner() = default;
@@ -63,6 +64,7 @@
     if (job.Run)
       Finished.push_back(std::move(job.Run));
   Jobs.clear();
+  Deferred.clear();
   Found.clear();
   Attempts.clear();
   Untold.clear();
@@ -186,6 +188,8 @@
   LogLine("pod {} is recovered: {} servers ready of {}, {} jobs known",
           Pod.str(), Sessions.size() - unreadyServers().size(), Sessions.size(),
           Jobs.size());
+  for (const auto &id : std::exchange(Deferred, {}))
+    place(id);
 }
 
 void PodOwner::adoptFound(const FoundAttempt &found) {
@@ -212,6 +216,7 @@
   }
   LogLine("adopting {} attempt {}", job.Id.str(), found.Record.Attempt);
   owned.Stage = JobStage::Running;
+  owned.At = Pod;
   Attempts[found.Record.Attempt] = job.Id;
   owned.Run = makeRun(found.Record);
   Scheduler->adopt(job, found.Record.Where, monoNow());
--- a/packages/daemon/src/pod_owner_jobs.cpp
+++ b/packages/daemon/src/pod_owner_jobs.cpp
@@ -24,28 +24,72 @@
 }
 
 JobView PodOwner::submit(const JobRequest &job,
-                         const std::optional<EntryVmId> &front) {
+                         const std::optional<EntryVmId> &front,
+                         bool delegated) {
   const bool known = Jobs.contains(job.Id);
   OwnedJob &owned = knownJob(job);
   if (front && !owned.Ended)
     owned.Fronts.insert(*front);
-  if (!known)
-    queue(job);
+  if (known)
+    return view(job.Id);
+  owned.Delegated = delegated;
+  if (Recovering)
+    Deferred.push_back(job.Id);
+  else
+    place(job.Id);
   return view(job.Id);
 }
 
-void PodOwner::queue(const JobRequest &job) {
+void PodOwner::place(const JobId &id) {
+  const auto it = Jobs.find(id);
+  if (it == Jobs.end() || it->second.Ended || it->second.Run)
+    return;
+  if (it->second.Delegated) {
+    admit(id);
+    return;
+  }
+  Broker.choose(
+      Pod, it->second.Job,
+      [this, id, epoch = std::weak_ptr<int>(Epoch)](const PodId &pod) {
+        if (epoch.expired())
+          return;
+        if (pod == Pod)
+          admit(id);
+        else
+          sendTo(pod, id);
+      });
+}
+
+void PodOwner::sendTo(const PodId &pod, const JobId &id) {
+  const auto it = Jobs.find(id);
+  if (it == Jobs.end() || it->second.Ended || it->second.Run)
+    return;
+  it->second.At = pod;
+  Broker.delegate(
+      pod, it->second.Job,
+      [this, id, epoch = std::weak_ptr<int>(Epoch)](const Outcome &outcome) {
+        if (!epoch.expired())
+          endJob(id, outcome);
+      });
+}
+
+void PodOwner::admit(const JobId &id) {
+  const auto it = Jobs.find(id);
+  if (it == Jobs.end() || it->second.Ended || it->second.Run)
+    return;
+  it->second.At = Pod;
+  const JobRequest job = it->second.Job;
   if (job.Repeatable) {
     Claims.accepted(Pod, job);
-    onClaim(job.Id, ClaimGranted{});
+    onClaim(id, ClaimGranted{});
     return;
   }
-  Claims.claim(Pod, job,
-               [this, id = job.Id,
-                epoch = std::weak_ptr<int>(Epoch)](const ClaimAnswer &answer) {
-                 if (!epoch.expired())
-                   onClaim(id, answer);
-               });
+  Claims.claim(
+      Pod, job,
+      [this, id, epoch = std::weak_ptr<int>(Epoch)](const ClaimAnswer &answer) {
+        if (!epoch.expired())
+          onClaim(id, answer);
+      });
 }
 
 void PodOwner::onClaim(const JobId &id, const ClaimAnswer &answer) {
@@ -68,8 +112,8 @@
     return {};
   const OwnedJob &owned = it->second;
   if (owned.Ended && !Untold.contains(job))
-    return {JobStage::Ended, *owned.Ended};
-  return {owned.Run ? JobStage::Running : JobStage::Waiting, {}};
+    return {JobStage::Ended, *owned.Ended, owned.At};
+  return {owned.Run ? JobStage::Running : JobStage::Waiting, {}, owned.At};
 }
 
 void PodOwner::cancel(const JobId &job, std::function<void(JobView)> callback) {
@@ -87,6 +131,10 @@
     owned.Run->revoke("its caller cancelled it");
     return;
   }
+  if (!owned.At.empty() && owned.At != Pod) {
+    Broker.cancelDelegated(owned.At, job);
+    return;
+  }
   Scheduler->cancelQueued(job);
   endJob(job, NotRun{"cancelled before it ran", 0});
 }
@@ -159,6 +207,10 @@
 
 void PodOwner::recordEnd(const JobId &id) {
   const OwnedJob &owned = Jobs.at(id);
+  if (owned.At != Pod) {
+    tellFronts(id);
+    return;
+  }
   Claims.ended(Pod, owned.Job, *owned.Ended,
                [this, id, epoch = std::weak_ptr<int>(Epoch)] {
                  if (!epoch.expired())
@@ -188,7 +240,7 @@
   if (job == Jobs.end())
     return;
   Notify(
-      front, {id, *job->second.Ended, final},
+      front, {Pod, id, *job->second.Ended, final},
       [this, id, front, final, epoch = std::weak_ptr<int>(Epoch)](bool told) {
         if (epoch.expired())
           return;
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -38,6 +38,25 @@
   ClaimAnswer Next = ClaimGranted{};
 };
 
+/// A broker of a single pod, or one that sends every job elsewhere.
+class FakeBroker final : public PodBroker {
+public:
+  void choose(const PodId &home, const JobRequest &,
+              std::function<void(PodId)> callback) override {
+    callback(Elsewhere.empty() ? home : Elsewhere);
+  }
+  void delegate(const PodId &, const JobRequest &,
+                std::function<void(const Outcome &)> callback) override {
+    Delegated = std::move(callback);
+  }
+  void cancelDelegated(const PodId &, const JobId &) override {
+    Delegated(NotRun{"cancelled before it ran", 0});
+  }
+
+  PodId Elsewhere;
+  std::function<void(const Outcome &)> Delegated;
+};
+
 /// One told message, in order.
 struct Told {
   EntryVmId Front;
@@ -55,7 +74,7 @@
 
   std::unique_ptr<PodOwner> makeOwner(const std::string &name) {
     return std::make_unique<PodOwner>(
-        Loop, Servers, Claims, EntryVmId(name), DataCentreId("dc"),
+        Loop, Servers, Claims, Broker, EntryVmId(name), DataCentreId("dc"),
         shortTerms(),
         [this](const EntryVmId &front, const JobEnded &message,
                std::function<void(bool)> callback) {
@@ -100,6 +119,7 @@
   EventLoop Loop;
   FakeBackends Servers;
   FakeClaims Claims;
+  FakeBroker Broker;
   std::vector<Told> Messages;
   std::map<JobId, Outcome> Ended;
   std::unique_ptr<PodOwner> Owner;
@@ -110,7 +130,7 @@
 BOOST_AUTO_TEST_CASE(a_gang_runs_whole_and_its_front_gets_all_results) {
   Fixture site;
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA);
+  site.Owner->submit(job, FrontA, false);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   const auto result = nlohmann::json::parse(
       std::get<Done>(site.Ended.at(job.Id)).Result, nullptr, false);
@@ -125,10 +145,10 @@
 BOOST_AUTO_TEST_CASE(a_job_submitted_twice_runs_once) {
   Fixture site;
   const auto job = Fixture::job("k", 1);
-  site.Owner->submit(job, FrontA);
-  site.Owner->submit(job, FrontB);
+  site.Owner->submit(job, FrontA, false);
+  site.Owner->submit(job, FrontB, false);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
-  site.Owner->submit(job, FrontA);
+  site.Owner->submit(job, FrontA, false);
   site.Loop.runUntil(monoNow() + Millis(400));
   BOOST_TEST(site.Servers.releases(job.Id) == 1U);
 }
@@ -137,7 +157,7 @@
   Fixture site;
   const auto job = Fixture::job("k", 8, false);
   site.Servers.loseReleaseAnswers(1);
-  site.Owner->submit(job, FrontA);
+  site.Owner->submit(job, FrontA, false);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_CHECK(site.endedAs<Done>(job));
   BOOST_TEST(site.Servers.releases(job.Id) == 1U);
@@ -147,14 +167,14 @@
   Fixture site;
   site.Servers.setRun(Millis(1200));
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA);
+  site.Owner->submit(job, FrontA, false);
   BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
   site.Owner->deactivate();
   auto successor = site.makeOwner("owner-2");
   successor->configure(Fixture::lists());
   successor->setServers(site.Servers.list());
   successor->activate({});
-  successor->submit(job, FrontA);
+  successor->submit(job, FrontA, false);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_CHECK(site.endedAs<Done>(job));
   BOOST_TEST(site.Servers.releases(job.Id) == 2U);
@@ -164,7 +184,7 @@
   Fixture site;
   site.Servers.setRun(Millis(300));
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA);
+  site.Owner->submit(job, FrontA, false);
   BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
   const HandOverPod message = site.Owner->handOver();
   BOOST_TEST(message.Leases.size() == 4U);
@@ -174,7 +194,7 @@
   successor->setServers(site.Servers.list());
   const MonoTime begin = monoNow();
   successor->activate({message.Leases.begin(), message.Leases.end()});
-  successor->submit(job, FrontA);
+  successor->submit(job, FrontA, false);
   BOOST_REQUIRE(site.until([&] { return !successor->recovering(); }));
   BOOST_CHECK(monoNow() - begin < shortTerms().LeaseTerm);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
@@ -186,7 +206,7 @@
   Fixture site(2);
   site.Servers.setRun(Millis(60000));
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA);
+  site.Owner->submit(job, FrontA, false);
   BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
   site.Servers.setSilent(BackendServerId("s1"), true);
   const PodTerms terms = shortTerms();
@@ -200,10 +220,10 @@
   site.Servers.setRun(Millis(400));
   const auto first = Fixture::job("first", 8);
   const auto second = Fixture::job("second", 8);
-  site.Owner->submit(first, FrontA);
+  site.Owner->submit(first, FrontA, false);
   BOOST_REQUIRE(
       site.until([&] { return site.Servers.running(first.Id) == 1; }));
-  site.Owner->submit(second, FrontA);
+  site.Owner->submit(second, FrontA, false);
   JobView view;
   site.Owner->cancel(second.Id, [&](const JobView &it) { view = it; });
   BOOST_REQUIRE(
@@ -217,7 +237,7 @@
   Fixture site;
   site.Servers.setRun(Millis(60000));
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA);
+  site.Owner->submit(job, FrontA, false);
   BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
   site.Owner->cancel(job.Id, [](const JobView &) {});
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
@@ -229,7 +249,7 @@
   Fixture site;
   site.Claims.Next = ClaimDenied{NotRun{"the log is away", 1000}};
   const auto job = Fixture::job("k", 1, false);
-  site.Owner->submit(job, FrontA);
+  site.Owner->submit(job, FrontA, false);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_CHECK(site.endedAs<NotRun>(job));
   BOOST_TEST(site.Servers.releases(job.Id) == 0U);
@@ -240,11 +260,11 @@
   site.Servers.setRun(Millis(1000));
   const auto first = Fixture::job("first", 8);
   const auto second = Fixture::job("second", 8);
-  site.Owner->submit(first, FrontA);
+  site.Owner->submit(first, FrontA, false);
   BOOST_REQUIRE(
       site.until([&] { return site.Servers.running(first.Id) == 1; }));
-  site.Owner->submit(second, FrontA);
-  site.Owner->submit(second, FrontB);
+  site.Owner->submit(second, FrontA, false);
+  site.Owner->submit(second, FrontB, false);
   site.Owner->cancel(second.Id, [](const JobView &) {});
   BOOST_REQUIRE(site.until([&] { return site.ended(second); }));
   BOOST_REQUIRE(site.Messages.size() == 4U);
@@ -261,8 +281,30 @@
   site.Owner->setServers(list);
   BOOST_REQUIRE(site.until([&] { return !site.Owner->recovering(); }));
   for (int i = 0; i < 10; ++i)
-    site.Owner->submit(Fixture::job("k" + std::to_string(i), 1), FrontA);
+    site.Owner->submit(Fixture::job("k" + std::to_string(i), 1), FrontA, false);
   BOOST_REQUIRE(site.until([&] { return site.Ended.size() == 10; }));
   BOOST_TEST(site.Servers.prepares(BackendServerId("s0")) == 0U);
   BOOST_TEST(site.Servers.prepares(BackendServerId("s1")) == 10U);
 }
+
+BOOST_AUTO_TEST_CASE(a_delegated_job_runs_elsewhere_and_ends_here) {
+  Fixture site;
+  site.Broker.Elsewhere = PodId("other");
+  const auto job = Fixture::job("k", 1);
+  site.Owner->submit(job, FrontA, false);
+  BOOST_REQUIRE(site.until([&] { return bool(site.Broker.Delegated); }));
+  BOOST_CHECK(site.Owner->view(job.Id).At == PodId("other"));
+  site.Broker.Delegated(Done{"x"});
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<Done>(job));
+  BOOST_TEST(site.Servers.releases(job.Id) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_that_its_home_sent_here_is_not_passed_on) {
+  Fixture site;
+  site.Broker.Elsewhere = PodId("other");
+  const auto job = Fixture::job("k", 1);
+  site.Owner->submit(job, FrontA, true);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_TEST(site.Servers.releases(job.Id) == 1U);
+}
