--- a/packages/ledger/include/citrongap/ledger/claim_ledger.h
+++ b/packages/ledger/include/citrongap/ledger/claim_ledger.h
@@ -72,6 +72,8 @@
   bool end(Place place, const JobEnded &it);
   bool keep(Place place, const JobKept &it);
   JobEntry &entryFor(Place place, const JobId &job, WallTime deadline);
+  void spendLater(const JobId &job, const ClaimId &claim, LogOffset order,
+                  WallTime deadline);
   void dropExpired(const JobId &job, WallTime at);
   bool termIsCurrent(const PodId &pod, PodTerm term) const;
   bool raiseTerm(Place place, const PodId &pod, const PodHolding &by);
--- a/packages/ledger/include/citrongap/ledger/job_record.h
+++ b/packages/ledger/include/citrongap/ledger/job_record.h
@@ -60,6 +60,8 @@
   /// Of the writer: an earlier holder can't give back what its successor has.
   PodTerm Term;
   WallTime Deadline;
+  /// Where the claim won; null when its writer has not read it.
+  std::optional<LogOffset> Order;
 };
 
 /// `By` holds the pod and all its claims from here on.
@@ -73,6 +75,8 @@
   ClaimId Claim;
   PodId Pod;
   PodTerm Term;
+  /// Where the claim won.
+  LogOffset Order;
 };
 
 /// The job has its final outcome.
--- a/packages/ledger/src/claim_ledger.cpp
+++ b/packages/ledger/src/claim_ledger.cpp
@@ -108,7 +108,24 @@
   return true;
 }
 
+/// Where the record of `claim` is gone, a later claim that lost to it looks
+/// like the first one: it is spent as soon as any record tells of `claim`.
+void ClaimLedger::spendLater(const JobId &job, const ClaimId &claim,
+                             LogOffset order, WallTime deadline) {
+  const auto it = Jobs.find(job);
+  if (it == Jobs.end() || !it->second.Claim || Spent.contains(claim))
+    return;
+  JobEntry &entry = it->second;
+  const bool anotherJob = entry.Deadline > deadline + ReuseAfter;
+  if (anotherJob || entry.Claim->Id == claim || entry.Claim->Order <= order)
+    return;
+  Spent.emplace(entry.Claim->Id, entry.Deadline);
+  entry.Claim.reset();
+}
+
 bool ClaimLedger::makeVoid(const ClaimVoid &it) {
+  if (it.Order)
+    spendLater(it.Job, it.Claim, *it.Order, it.Deadline);
   const auto known = Jobs.find(it.Job);
   const bool holds = known != Jobs.end() && known->second.Claim &&
                      known->second.Claim->Id == it.Claim;
@@ -125,19 +142,19 @@
 }
 
 bool ClaimLedger::end(Place place, const JobEnded &it) {
+  if (it.Under)
+    spendLater(it.Job, it.Under->Claim, it.Under->Order, it.Deadline);
   const JobEntry *known = find(it.Job);
   if (known && known->Result)
     return *known->Result == it.Result;
-  const bool claimed = known && known->Claim;
-  if (claimed != it.Under.has_value() && known)
+  const ClaimHolding *holding =
+      known && known->Claim ? &*known->Claim : nullptr;
+  if (!it.Under && holding)
+    return false;
+  if (it.Under && (Spent.contains(it.Under->Claim) ||
+                   !termIsCurrent(it.Under->Pod, it.Under->Term) ||
+                   (holding && holding->Id != it.Under->Claim)))
     return false;
-  if (it.Under) {
-    if (Spent.contains(it.Under->Claim) ||
-        !termIsCurrent(it.Under->Pod, it.Under->Term))
-      return false;
-    if (claimed && known->Claim->Id != it.Under->Claim)
-      return false;
-  }
   entryFor(place, it.Job, it.Deadline).Result = it.Result;
   return true;
 }
@@ -148,13 +165,14 @@
   // The key names a new job by now.
   if (known && known->Deadline > from.Deadline + ReuseAfter)
     return false;
+  if (from.Claim)
+    spendLater(from.Job, from.Claim->Id, from.Claim->Order, from.Deadline);
   JobEntry &entry = entryFor(place, from.Job, from.Deadline);
   if (!entry.Accepted)
     entry.Accepted = from.Accepted;
   if (!entry.Result)
     entry.Result = from.Result;
-  if (from.Claim && !Spent.contains(from.Claim->Id) &&
-      (!entry.Claim || from.Claim->Order < entry.Claim->Order))
+  if (from.Claim && !Spent.contains(from.Claim->Id) && !entry.Claim)
     entry.Claim = from.Claim;
   // Changes between the writer's state and this offset are not covered.
   const bool whole = entry.Accepted == from.Accepted &&
--- a/packages/ledger/src/claim_model.cpp
+++ b/packages/ledger/src/claim_model.cpp
@@ -91,11 +91,11 @@
                       terms[p]};
   };
   const auto ended = [&](std::uint8_t claim, std::uint8_t p) {
-    return JobEnded{Job, EndedClaim{claimId(claim), podOf(p), terms[p]}, end,
-                    Done{"whole"}};
+    return JobEnded{Job, EndedClaim{claimId(claim), podOf(p), terms[p], {}},
+                    end, Done{"whole"}};
   };
   const auto makeVoid = [&](std::uint8_t claim, std::uint8_t p) {
-    return ClaimVoid{claimId(claim), Job, podOf(p), terms[p], end};
+    return ClaimVoid{claimId(claim), Job, podOf(p), terms[p], end, {}};
   };
   const auto takeOver = [&](std::uint8_t p) {
     return PodTakeOver{podOf(p), by(p)};
--- a/packages/ledger/src/claim_writer.cpp
+++ b/packages/ledger/src/claim_writer.cpp
@@ -114,8 +114,12 @@
 }
 
 JobRecordBody ClaimWriter::voidOf(const JobClaim &claim) const {
-  return ClaimVoid{claim.Id, claim.Job, claim.Pod, claim.By.Term,
-                   claim.Deadline};
+  const JobEntry *entry = Ledger.find(claim.Job);
+  const bool held = entry && entry->Claim && entry->Claim->Id == claim.Id;
+  return ClaimVoid{
+      claim.Id,       claim.Job,
+      claim.Pod,      claim.By.Term,
+      claim.Deadline, held ? std::optional(entry->Claim->Order) : std::nullopt};
 }
 
 /// From here on the claim is never acted on, even if it is read as won.
@@ -159,9 +163,12 @@
                           RecordCallback callback) {
   const JobEntry *entry = Ledger.find(job);
   const bool held = entry && entry->Claim && entry->Claim->Id == claim;
-  const PodId pod = held ? entry->Claim->Pod : PodId();
-  submit(ClaimVoid{claim, job, pod, by.Term,
-                   held ? entry->Deadline : wallNow() + MaxClaimLife},
+  if (!held) {
+    callback(RecordNeverSent{"the job is not held by this claim"});
+    return;
+  }
+  submit(ClaimVoid{claim, job, entry->Claim->Pod, by.Term, entry->Deadline,
+                   entry->Claim->Order},
          newId(), deadline, std::move(callback));
 }
 
--- a/packages/ledger/src/job_record.cpp
+++ b/packages/ledger/src/job_record.cpp
@@ -88,6 +88,8 @@
   json["claim"] = it.Claim.str();
   json["pod"] = it.Pod.str();
   json["term"] = it.Term.value();
+  if (it.Order)
+    json["order"] = it.Order->value();
   return json;
 }
 
@@ -104,7 +106,8 @@
   if (it.Under)
     json["under"] = {{"claim", it.Under->Claim.str()},
                      {"pod", it.Under->Pod.str()},
-                     {"term", it.Under->Term.value()}};
+                     {"term", it.Under->Term.value()},
+                     {"order", it.Under->Order.value()}};
   return json;
 }
 
@@ -144,8 +147,12 @@
 }
 
 ClaimVoid readVoid(FieldReader &in) {
-  return {ClaimId(in.text("claim")), readJob(in), PodId(in.text("pod")),
-          PodTerm(in.number("term")), readTime(in, "deadline")};
+  ClaimVoid it{ClaimId(in.text("claim")), readJob(in),
+               PodId(in.text("pod")),     PodTerm(in.number("term")),
+               readTime(in, "deadline"),  std::nullopt};
+  if (in.find("order"))
+    it.Order = LogOffset(in.number("order"));
+  return it;
 }
 
 JobEnded readEnded(FieldReader &in) {
@@ -155,9 +162,9 @@
   if (!under)
     return ended;
   FieldReader fields(*under);
-  ended.Under =
-      EndedClaim{ClaimId(fields.text("claim")), PodId(fields.text("pod")),
-                 PodTerm(fields.number("term"))};
+  ended.Under = EndedClaim{
+      ClaimId(fields.text("claim")), PodId(fields.text("pod")),
+      PodTerm(fields.number("term")), LogOffset(fields.number("order"))};
   if (!fields.ok())
     in.reject();
   return ended;
