--- a/packages/ledger/include/citrongap/ledger/claim_writer.h
+++ b/packages/ledger/include/citrongap/ledger/claim_writer.h
@@ -70,6 +70,8 @@
 struct ClaimWriterSettings {
   LogReaderSettings Reading;
   RecordAppenderSettings Appending;
+  /// How long a claim may wait, unsent, for the log to be reachable.
+  Millis OutageWait{500};
   /// How long after a claim's deadline its void may take.
   Millis VoidTime{1000};
   /// How long the log keeps a record.
@@ -83,7 +85,8 @@
 
   void start();
 
-  /// The result comes by `deadline` plus `VoidTime`.
+  /// The result comes by `deadline` plus `VoidTime`; in an outage after
+  /// `OutageWait`.
   void claim(const ClaimRequest &request, MonoTime deadline,
              std::function<void(const ClaimResult &)> callback);
   /// Gives a won claim back so that another pod may run the job. Only when
--- a/packages/ledger/include/citrongap/ledger/record_appender.h
+++ b/packages/ledger/include/citrongap/ledger/record_appender.h
@@ -36,10 +36,9 @@
 struct RecordAppenderSettings {
   /// How long one append may take.
   Millis AppendTime{2000};
-  /// A record that was not read back is appended again after it.
+  /// A record that was not read back is appended again after it; nothing is
+  /// sent for so long after a failed append.
   Millis RetryAfter{500};
-  /// How long a record may wait, unsent, for the log to be reachable.
-  Millis OutageWait{500};
   std::size_t MaxBatchRecords = 256;
   std::size_t MaxBatchBytes = 1U << 20U;
   /// Records that may wait at the same time; further ones are not sent.
@@ -51,15 +50,16 @@
   RecordAppender(EventLoop &loop, LogPort &log, std::string stream,
                  RecordAppenderSettings settings);
 
-  /// `body` carries `id`. The callback comes once, and no append of the
-  /// record is started after it.
-  void submit(const std::string &id, std::string body, MonoTime deadline,
-              RecordCallback callback);
+  /// `body` carries `id`. Given up when not sent by `sendBy`, for want of the
+  /// log, or not read by `deadline`. The callback comes once, and no append
+  /// of the record is started after it.
+  void submit(const std::string &id, std::string body, MonoTime sendBy,
+              MonoTime deadline, RecordCallback callback);
   /// The owner has read the record in the log.
   void onRead(const std::string &id, bool effective);
   /// While the log is not reachable nothing is sent.
   void setReachable(bool reachable);
-  bool reachable() const { return Reachable; }
+  bool reachable() const { return Reachable && !Pause.pending(); }
   /// Called after each append that was answered or given up.
   void onAppended(std::function<void()> callback);
 
@@ -98,6 +98,8 @@
   std::deque<std::string> Queue;
   bool Busy = false;
   bool Reachable = false;
+  /// Pending after a failed append.
+  Timer Pause;
   std::uint64_t Appends = 0;
   std::function<void()> Appended;
   std::shared_ptr<int> Alive = std::make_shared<int>();
--- a/packages/ledger/src/claim_writer.cpp
+++ b/packages/ledger/src/claim_writer.cpp
@@ -65,7 +65,10 @@
 
 void ClaimWriter::submit(JobRecordBody body, const std::string &id,
                          MonoTime deadline, RecordCallback callback) {
-  Appender.submit(id, encodeJobRecord({id, wallNow(), std::move(body)}),
+  // A claim must be answered soon when the log is away; the rest may wait.
+  const bool isClaim = std::holds_alternative<JobClaim>(body);
+  const MonoTime sendBy = isClaim ? monoNow() + Settings.OutageWait : deadline;
+  Appender.submit(id, encodeJobRecord({id, wallNow(), std::move(body)}), sendBy,
                   deadline, std::move(callback));
 }
 
@@ -151,11 +154,7 @@
   const MonoTime until = toMono(claim.Deadline);
   if (until <= monoNow())
     return;
-  submit(voidOf(claim), newId(), until, [this, claim](const RecordFate &fate) {
-    // Refused for want of the log, not at the deadline: try on.
-    if (std::holds_alternative<RecordNeverSent>(fate))
-      voidLater(claim);
-  });
+  submit(voidOf(claim), newId(), until, [](const RecordFate &) {});
 }
 
 void ClaimWriter::release(const ClaimId &claim, const JobId &job,
--- a/packages/ledger/src/mock_log.h
+++ b/packages/ledger/src/mock_log.h
@@ -18,6 +18,8 @@
 
   /// No call takes effect or is answered in time.
   bool Outage = false;
+  /// Appends land, but neither they nor reads are answered in time.
+  bool Hidden = false;
   /// The next appends take effect but their answers are lost.
   int LoseAnswers = 0;
   /// The next appends are unanswered and held until land().
@@ -41,6 +43,8 @@
     }
     const LogOffset first = End;
     store(bodies);
+    if (Hidden)
+      return answer(callback, NoAnswer{"hidden"});
     if (LoseAnswers > 0) {
       --LoseAnswers;
       return answer(callback, NoAnswer{"lost"});
@@ -51,7 +55,7 @@
   void read(const std::string &, LogOffset from, Millis wait, MonoTime,
             PortCallback<LogPage> callback) override {
     ++Reads;
-    if (Outage)
+    if (Outage || Hidden)
       return answer(callback, NoAnswer{"outage"});
     Waiting.push_back({from, std::move(callback), {}});
     const auto it = std::prev(Waiting.end());
@@ -99,6 +103,8 @@
   void serve(std::list<Reading>::iterator it) {
     Reading reading = std::move(*it);
     Waiting.erase(it);
+    if (Hidden)
+      return reading.Callback(NoAnswer{"hidden"});
     LogPage page{First, End, {}};
     for (const auto &record : Records)
       if (record.Offset >= reading.From)
--- a/packages/ledger/src/record_appender.cpp
+++ b/packages/ledger/src/record_appender.cpp
@@ -18,7 +18,8 @@
 }
 
 void RecordAppender::submit(const std::string &id, std::string body,
-                            MonoTime deadline, RecordCallback callback) {
+                            MonoTime sendBy, MonoTime deadline,
+                            RecordCallback callback) {
   if (body.size() > MaxRecordBytes) {
     callback(RecordNeverSent{"the record is too large"});
     return;
@@ -31,8 +32,8 @@
       std::move(body), deadline, std::move(callback), false, false, {}, {}};
   record.Expiry = Loop.at(deadline, [this, id] { expire(id); });
   // Until it is sent for the first time, this timer bounds its wait.
-  record.Retry = Loop.at(std::min(deadline, monoNow() + Settings.OutageWait),
-                         [this, id] { expireUnsent(id); });
+  record.Retry =
+      Loop.at(std::min(sendBy, deadline), [this, id] { expireUnsent(id); });
   Records.emplace(id, std::move(record));
   Queue.push_back(id);
   flush();
@@ -40,6 +41,7 @@
 
 void RecordAppender::setReachable(bool reachable) {
   Reachable = reachable;
+  Pause.cancel();
   flush();
 }
 
@@ -64,7 +66,7 @@
 }
 
 void RecordAppender::flush() {
-  if (Busy || !Reachable)
+  if (Busy || !reachable())
     return;
   std::vector<std::string> ids;
   std::vector<std::string> bodies = takeBatch(ids);
@@ -85,7 +87,10 @@
   Busy = false;
   const bool refused = std::holds_alternative<Rejected>(result);
   if (!std::holds_alternative<LogOffset>(result))
-    Reachable = false;
+    Pause = Loop.at(monoNow() + Settings.RetryAfter, [this] {
+      Pause.cancel();
+      flush();
+    });
   for (const auto &id : ids) {
     const auto it = Records.find(id);
     if (it == Records.end())
@@ -122,7 +127,7 @@
 
 void RecordAppender::expireUnsent(const std::string &id) {
   const auto it = Records.find(id);
-  if (it != Records.end() && !Reachable)
+  if (it != Records.end() && !reachable())
     settle(id, RecordNeverSent{"the log is not reachable"});
 }
 
@@ -130,7 +135,7 @@
   auto node = Records.extract(id);
   if (node.empty())
     return;
-  if (!Reachable)
+  if (!reachable())
     std::erase(Queue, id);
   node.mapped().Callback(fate);
 }
