policy: cells of a pod and packing of the guarantees on declared capacity

Cause: the first scheduler looked for gangs by scanning servers, and lists whose guarantees can't all be held at once were accepted.

--- a/packages/policy/src/configuration.cpp
+++ b/packages/policy/src/configuration.cpp
@@ -1,6 +1,7 @@
 // Reading and checking the two lists.
 #include "citrongap/policy/configuration.h"
 
+#include "citrongap/policy/guarantee_packing.h"
 #include "citrongap/policy/job.h"
 
 #include <algorithm>
@@ -160,6 +161,8 @@
                      fmt::format("guarantees {} adjacent accelerators but "
                                  "allows gangs of at most {}",
                                  shape.Gang.Count, plan.LargestGang.Count));
+  if (findings.empty())
+    findings.append(packGuarantees(configuration).Unpacked);
   return findings;
 }
 
--- /dev/null
+++ b/packages/policy/src/guarantee_packing.cpp
@@ -0,0 +1,145 @@
+// Packs guarantees on one CellPool for each declared data centre.
+#include "citrongap/policy/guarantee_packing.h"
+
+#include "citrongap/base/hash.h"
+#include "citrongap/policy/cells.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <memory>
+
+namespace citrongap {
+
+namespace {
+
+/// The declared capacity of one data centre. Not movable: the pool refers to
+/// the layout.
+struct DeclaredPod {
+  DataCentreId Id;
+  std::uint64_t Hash = 0;
+  PodLayout Layout;
+  CellPool Pool{Layout};
+};
+
+using DeclaredPods = std::vector<std::unique_ptr<DeclaredPod>>;
+
+/// One shape of one account that is to be packed.
+struct WantedShape {
+  const AccountEntry *Entry = nullptr;
+  Accelerators Gang;
+  std::uint32_t Count = 0;
+};
+
+DeclaredPods declaredPods(const Configuration &configuration) {
+  DeclaredPods pods;
+  for (const auto &[id, entry] : configuration.DataCentres) {
+    auto pod = std::make_unique<DeclaredPod>();
+    pod->Id = id;
+    pod->Hash = stableHash(id.str());
+    for (std::uint32_t rack = 0; rack < entry.Racks; ++rack) {
+      const RackIndex at = pod->Layout.addRack();
+      for (std::uint32_t i = 0; i < entry.ServersPerRack; ++i) {
+        const ServerIndex server =
+            pod->Layout.addServer(at, i, entry.PerServer);
+        pod->Pool.set(server, allSlots(entry.PerServer));
+      }
+    }
+    pods.push_back(std::move(pod));
+  }
+  return pods;
+}
+
+std::vector<WantedShape> wantedShapes(const Configuration &configuration) {
+  std::vector<WantedShape> wanted;
+  for (const auto &[id, entry] : configuration.Accounts) {
+    const PlanEntry *plan = configuration.planOf(id);
+    if (!plan)
+      continue;
+    for (const GuaranteedShape &shape : plan->Guaranteed)
+      wanted.push_back({&entry, shape.Gang, shape.Count});
+  }
+  std::stable_sort(
+      wanted.begin(), wanted.end(),
+      [](const auto &lhs, const auto &rhs) { return lhs.Gang > rhs.Gang; });
+  return wanted;
+}
+
+/// splitmix64's finalizer.
+std::uint64_t mixed(std::uint64_t n) {
+  n = (n ^ (n >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  n = (n ^ (n >> 27)) * 0x94d049bb133111ebULL;
+  return n ^ (n >> 31);
+}
+
+/// The data centres in this instance's order of preference.
+std::vector<DeclaredPod *> preference(const DeclaredPods &pods,
+                                      std::uint64_t accountHash,
+                                      std::uint32_t instance) {
+  std::vector<std::pair<std::uint64_t, DeclaredPod *>> ranked;
+  for (const auto &it : pods)
+    ranked.emplace_back(mixed(it->Hash ^ mixed(accountHash + instance)),
+                        it.get());
+  std::sort(ranked.begin(), ranked.end(), [](const auto &lhs, const auto &rhs) {
+    return lhs.first != rhs.first ? lhs.first > rhs.first
+                                  : lhs.second->Id < rhs.second->Id;
+  });
+  std::vector<DeclaredPod *> out;
+  out.reserve(ranked.size());
+  for (const auto &[weight, pod] : ranked)
+    out.push_back(pod);
+  return out;
+}
+
+void carry(std::vector<CarriedShape> &shapes, const WantedShape &wanted) {
+  const bool next = shapes.empty() ||
+                    shapes.back().Account != wanted.Entry->Account ||
+                    shapes.back().Shape.Gang != wanted.Gang;
+  if (next)
+    shapes.push_back({wanted.Entry->Account, {wanted.Gang, 0}});
+  ++shapes.back().Shape.Count;
+}
+
+/// Number of instances that found room; stops at the first that does not.
+std::uint32_t pack(const WantedShape &wanted, const DeclaredPods &pods,
+                   GuaranteePacking &out) {
+  const std::uint64_t hash =
+      stableHash(wanted.Entry->Account.str()) + wanted.Gang.Count;
+  for (std::uint32_t i = 0; i < wanted.Count; ++i) {
+    bool packed = false;
+    for (DeclaredPod *pod : preference(pods, hash, i)) {
+      const auto cells = pod->Pool.find(wanted.Gang);
+      if (!cells)
+        continue;
+      pod->Pool.take(*cells);
+      carry(out.Carried[pod->Id], wanted);
+      packed = true;
+      break;
+    }
+    if (!packed)
+      return i;
+  }
+  return wanted.Count;
+}
+
+} // namespace
+
+GuaranteePacking packGuarantees(const Configuration &configuration) {
+  GuaranteePacking out;
+  const DeclaredPods pods = declaredPods(configuration);
+  std::map<PlanId, std::vector<std::string>> missing;
+  for (const WantedShape &it : wantedShapes(configuration)) {
+    const std::uint32_t packed = pack(it, pods, out);
+    if (packed < it.Count)
+      missing[it.Entry->Plan].push_back(
+          fmt::format("{} of {}x{} for account {}", it.Count - packed,
+                      it.Gang.Count, it.Count, it.Entry->Account.str()));
+  }
+  for (const auto &[plan, shapes] : missing)
+    out.Unpacked.add(fmt::format("plan {}", plan.str()),
+                     fmt::format("its guarantee does not fit the declared "
+                                 "capacity: no room for {}",
+                                 fmt::join(shapes, ", ")));
+  return out;
+}
+
+} // namespace citrongap
