policy: server and job health, parts in the build

Failures are judged against the mean rate of the other servers, not of tasks: a server that fails at once draws most tasks. Quarantine, one probe, return.

--- /dev/null
+++ b/packages/policy/src/health_test.cpp
@@ -0,0 +1,101 @@
+// Faulty servers and faulty jobs are told apart.
+#include "citrongap/policy/job_health.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace citrongap;
+
+namespace {
+
+const MonoTime Start = monoFromMillis(0);
+
+BackendServerId server(int n) {
+  return BackendServerId("s" + std::to_string(n));
+}
+
+JobId job(int n) {
+  return {ClientAccountId("a"), RequestKey(std::to_string(n))};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(servers_that_fail_all_they_start_are_quarantined) {
+  ServerHealth health;
+  for (int round = 0; round < 5; ++round)
+    for (int i = 0; i < 8; ++i) {
+      if (i < 2)
+        health.failed(server(i), Start);
+      else
+        health.succeeded(server(i), Start);
+    }
+  BOOST_TEST(health.quarantinedCount() == 2U);
+  BOOST_TEST(health.quarantined(server(0)));
+  BOOST_TEST(!health.quarantined(server(2)));
+}
+
+BOOST_AUTO_TEST_CASE(failures_of_the_whole_fleet_quarantine_no_server) {
+  ServerHealth health;
+  for (int i = 0; i < 8; ++i)
+    health.failed(server(i), Start);
+  for (int round = 0; round < 10; ++round)
+    for (int i = 0; i < 8; ++i)
+      health.failed(server(i), Start);
+  BOOST_TEST(health.quarantinedCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(old_failures_decay) {
+  ServerHealth health;
+  health.succeeded(server(1), Start);
+  for (int i = 0; i < 6; ++i)
+    health.failed(server(0), Start + Seconds(1800 * i));
+  BOOST_TEST(health.quarantinedCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(one_probe_decides_and_a_failed_one_doubles_the_wait) {
+  ServerHealth health;
+  health.succeeded(server(1), Start);
+  for (int i = 0; i < 3; ++i)
+    health.failed(server(0), Start);
+  BOOST_TEST(!health.probeDue(server(0), Start + Seconds(29)));
+  BOOST_TEST(health.probeDue(server(0), Start + Seconds(30)));
+  health.probeStarted(server(0));
+  BOOST_TEST(!health.probeDue(server(0), Start + Seconds(31)));
+  health.failed(server(0), Start + Seconds(31));
+  BOOST_TEST(!health.probeDue(server(0), Start + Seconds(90)));
+  BOOST_TEST(health.probeDue(server(0), Start + Seconds(91)));
+  health.probeStarted(server(0));
+  health.succeeded(server(0), Start + Seconds(92));
+  BOOST_TEST(!health.quarantined(server(0)));
+  BOOST_TEST(health.quarantinedCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_that_fails_on_distinct_servers_blames_none) {
+  ServerHealth health;
+  JobHealth jobs;
+  for (int round = 0; round < 50; ++round)
+    for (int i = 0; i < 3; ++i) {
+      health.failed(server(i), Start);
+      const auto verdict = jobs.failed(job(round), {server(i)}, health);
+      const auto *fault = std::get_if<JobAtFault>(&verdict);
+      BOOST_TEST((fault != nullptr) == (i == 2));
+      if (fault)
+        for (const auto &it : fault->Forgiven)
+          health.forgive(it, Start);
+    }
+  BOOST_TEST(health.quarantinedCount() == 0U);
+  BOOST_TEST(jobs.jobs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(failures_on_quarantined_servers_do_not_blame_the_job) {
+  ServerHealth health;
+  JobHealth jobs;
+  for (int i = 3; i < 9; ++i)
+    health.succeeded(server(i), Start);
+  for (int i = 0; i < 3; ++i)
+    for (int round = 0; round < 3; ++round)
+      health.failed(server(i), Start);
+  BOOST_TEST(health.quarantinedCount() == 3U);
+  for (int i = 0; i < 3; ++i)
+    BOOST_TEST(std::holds_alternative<ServersSuspect>(
+        jobs.failed(job(0), {server(i)}, health)));
+}
--- /dev/null
+++ b/packages/policy/src/server_health.cpp
@@ -0,0 +1,166 @@
+// Decaying failure counts, quarantine and probes.
+#include "citrongap/policy/server_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace citrongap {
+
+namespace {
+
+constexpr double HalfLifeMs = 10.0 * 60 * 1000;
+constexpr double MinFailures = 2.5;
+constexpr double MinRate = 0.5;
+constexpr double MinTimesOthers = 2;
+constexpr Millis FirstQuarantine{30 * 1000};
+constexpr std::uint32_t MaxDoublings = 6;
+
+} // namespace
+
+double ServerHealth::Record::rate() const {
+  const double runs = Failures + Successes;
+  return runs > 0 ? Failures / runs : 0;
+}
+
+void ServerHealth::Record::decay(MonoTime now) {
+  if (now <= DecayedAt)
+    return;
+  const auto passed = static_cast<double>((now - DecayedAt).count());
+  const double factor = std::exp2(-passed / HalfLifeMs);
+  Failures *= factor;
+  Successes *= factor;
+  DecayedAt = now;
+}
+
+ServerHealth::Record &ServerHealth::recordOf(const BackendServerId &server,
+                                             MonoTime now) {
+  const auto [it, added] = Records.try_emplace(server);
+  if (added) {
+    it->second.DecayedAt = now;
+    include(it->second);
+  }
+  return it->second;
+}
+
+void ServerHealth::exclude(const Record &record) {
+  SumOfRates = std::max(0.0, SumOfRates - record.rate());
+  --HealthyServers;
+}
+
+void ServerHealth::include(const Record &record) {
+  SumOfRates += record.rate();
+  ++HealthyServers;
+}
+
+double ServerHealth::rateOfOthers(const Record &record) const {
+  if (HealthyServers <= 1)
+    return 0;
+  const double others = std::max(0.0, SumOfRates - record.rate());
+  return others / (HealthyServers - 1);
+}
+
+void ServerHealth::quarantine(Record &record, MonoTime now) {
+  if (!record.Quarantined) {
+    exclude(record);
+    ++QuarantinedServers;
+  }
+  record.Quarantined = true;
+  record.Probing = false;
+  record.ProbeAt =
+      now + FirstQuarantine * (1U << std::min(record.Strikes, MaxDoublings));
+  ++record.Strikes;
+}
+
+void ServerHealth::release(Record &record, MonoTime now) {
+  const bool was = record.Quarantined;
+  record = Record();
+  record.DecayedAt = now;
+  if (was) {
+    --QuarantinedServers;
+    include(record);
+  }
+}
+
+void ServerHealth::succeeded(const BackendServerId &server, MonoTime now) {
+  Record &record = recordOf(server, now);
+  if (record.Quarantined) {
+    // Work from before the quarantine proves nothing; only the probe does.
+    if (record.Probing)
+      release(record, now);
+    return;
+  }
+  exclude(record);
+  record.decay(now);
+  record.Successes += 1;
+  include(record);
+}
+
+bool ServerHealth::failed(const BackendServerId &server, MonoTime now) {
+  Record &record = recordOf(server, now);
+  if (record.Quarantined) {
+    if (record.Probing)
+      quarantine(record, now);
+    return false;
+  }
+  exclude(record);
+  record.decay(now);
+  record.Failures += 1;
+  include(record);
+  const bool guilty = record.Failures >= MinFailures &&
+                      record.rate() >= MinRate &&
+                      record.rate() >= MinTimesOthers * rateOfOthers(record);
+  if (guilty)
+    quarantine(record, now);
+  return guilty;
+}
+
+void ServerHealth::forgive(const BackendServerId &server, MonoTime now) {
+  const auto it = Records.find(server);
+  if (it == Records.end())
+    return;
+  Record &record = it->second;
+  if (!record.Quarantined)
+    exclude(record);
+  record.decay(now);
+  record.Failures = std::max(0.0, record.Failures - 1);
+  if (!record.Quarantined)
+    include(record);
+  else if (record.Failures < MinFailures)
+    release(record, now);
+}
+
+bool ServerHealth::quarantined(const BackendServerId &server) const {
+  const auto it = Records.find(server);
+  return it != Records.end() && it->second.Quarantined;
+}
+
+bool ServerHealth::probeDue(const BackendServerId &server, MonoTime now) const {
+  const auto it = Records.find(server);
+  return it != Records.end() && it->second.Quarantined && !it->second.Probing &&
+         it->second.ProbeAt <= now;
+}
+
+void ServerHealth::probeStarted(const BackendServerId &server) {
+  const auto it = Records.find(server);
+  if (it != Records.end() && it->second.Quarantined)
+    it->second.Probing = true;
+}
+
+void ServerHealth::probeAbandoned(const BackendServerId &server) {
+  const auto it = Records.find(server);
+  if (it != Records.end())
+    it->second.Probing = false;
+}
+
+void ServerHealth::removeServer(const BackendServerId &server) {
+  const auto it = Records.find(server);
+  if (it == Records.end())
+    return;
+  if (it->second.Quarantined)
+    --QuarantinedServers;
+  else
+    exclude(it->second);
+  Records.erase(it);
+}
+
+} // namespace citrongap
