--- a/packages/policy/include/citrongap/policy/pod_cells.h
+++ b/packages/policy/include/citrongap/policy/pod_cells.h
@@ -27,6 +27,7 @@
   Placement Where;
   /// The part of `Where` on known servers.
   GangCells Cells;
+  MonoTime StartedAt;
   /// RevokeJob was decided.
   bool Revoking = false;
   /// Times that a reservation stopped it.
@@ -53,6 +54,11 @@
   RunningJob *Run = nullptr;
   FootprintCell *Claim = nullptr;
   ReservationNumber HeldBy;
+
+  /// An account's own work in its own footprint.
+  bool atHome() const;
+  /// Runs what a reservation on shared cells may not stop.
+  bool secure() const;
 };
 
 class PodCells {
@@ -71,6 +77,7 @@
   std::optional<ServerIndex> find(const BackendServerId &server) const;
   /// Live and not quarantined: new work may go there.
   bool placeable(ServerIndex server) const;
+  bool live(ServerIndex server) const;
   /// The slots of known servers.
   GangCells locate(const Placement &where) const;
   Placement describe(const GangCells &cells) const;
--- a/packages/policy/src/pod_cells.cpp
+++ b/packages/policy/src/pod_cells.cpp
@@ -8,21 +8,19 @@
 
 namespace {
 
-/// An account's own work in its own footprint.
-bool atHome(const SlotUse &use) {
-  return use.Run && use.Claim && use.Run->job().Id.Account == use.Claim->Account;
-}
-
 bool fixed(const RunningJob &job) { return !job.job().Repeatable; }
 
-/// Not to be stopped for a reservation.
-bool secure(const SlotUse &use) {
-  return fixed(*use.Run) || atHome(use) ||
-         use.Run->Queued.Class == ServiceClass::Urgent ||
-         use.Run->Preemptions >= MaxPreemptions;
+} // namespace
+
+bool SlotUse::atHome() const {
+  return Run && Claim && Run->job().Id.Account == Claim->Account;
 }
 
-} // namespace
+bool SlotUse::secure() const {
+  return Run && (fixed(*Run) || atHome() ||
+                 Run->Queued.Class == ServiceClass::Urgent ||
+                 Run->Preemptions >= MaxPreemptions);
+}
 
 bool PodCells::setServer(const ServerDescription &about) {
   ++Version;
@@ -37,11 +35,11 @@
 ServerIndex PodCells::add(const ServerDescription &about) {
   const RackIndex rack = rackFor(about.Rack);
   const auto &peers = Layout.serversOf(rack);
-  const auto position = std::lower_bound(
-      peers.begin(), peers.end(), about.Server,
-      [this](ServerIndex at, const BackendServerId &id) {
-        return Servers[at.At].About.Server < id;
-      });
+  const auto position =
+      std::lower_bound(peers.begin(), peers.end(), about.Server,
+                       [this](ServerIndex at, const BackendServerId &id) {
+                         return Servers[at.At].About.Server < id;
+                       });
   const auto before = static_cast<std::size_t>(position - peers.begin());
   const ServerIndex server = Layout.addServer(rack, before, about.Total);
   if (server.At >= Servers.size())
@@ -66,8 +64,7 @@
   return added;
 }
 
-void PodCells::setQuarantined(const BackendServerId &server,
-                              bool quarantined) {
+void PodCells::setQuarantined(const BackendServerId &server, bool quarantined) {
   const auto at = find(server);
   if (!at || Servers[at->At].Quarantined == quarantined)
     return;
@@ -84,9 +81,8 @@
   LiveServer &gone = Servers[at->At];
   for (const SlotUse &use : gone.Uses)
     if (use.Run)
-      std::erase_if(use.Run->Cells, [&](const ServerCells &it) {
-        return it.Server == *at;
-      });
+      std::erase_if(use.Run->Cells,
+                    [&](const ServerCells &it) { return it.Server == *at; });
   Total -= gone.About.Total;
   gone = {};
   ById.erase(server);
@@ -101,9 +97,13 @@
   return it->second;
 }
 
-bool PodCells::placeable(ServerIndex server) const {
+bool PodCells::live(ServerIndex server) const {
   const LiveServer &it = Servers[server.At];
-  return it.Known && !it.Quarantined && it.About.State == ServerState::Live;
+  return it.Known && it.About.State == ServerState::Live;
+}
+
+bool PodCells::placeable(ServerIndex server) const {
+  return live(server) && !Servers[server.At].Quarantined;
 }
 
 GangCells PodCells::locate(const Placement &where) const {
@@ -186,7 +186,8 @@
   for (SlotMask rest = usable; rest != 0; rest &= rest - 1) {
     const SlotMask bit = rest & (~rest + 1);
     const SlotUse &use =
-        Servers[server.At].Uses[static_cast<std::size_t>(std::countr_zero(bit))];
+        Servers[server.At]
+            .Uses[static_cast<std::size_t>(std::countr_zero(bit))];
     if (use.Claim)
       claimed |= bit;
     if (use.HeldBy != ReservationNumber())
@@ -196,7 +197,7 @@
     busy |= bit;
     if (fixed(*use.Run))
       unrevocable |= bit;
-    if (secure(use))
+    if (use.secure())
       kept |= bit;
   }
   Claimable.set(server, usable & ~claimed & ~unrevocable);
--- a/packages/policy/src/pod_scheduler.cpp
+++ b/packages/policy/src/pod_scheduler.cpp
@@ -1,195 +1,134 @@
-// First whole version: class order, then arrival; a gang takes the free slots
-// of as few adjacent servers of one rack as possible, else of adjacent racks.
+// Events of one pod: each updates the books; decide() makes one pass.
 #include "citrongap/policy/pod_scheduler.h"
 
-#include <algorithm>
-#include <fmt/format.h>
-#include <optional>
-#include <set>
+#include "citrongap/policy/admission.h"
+#include "pod_state.h"
+
 #include <utility>
 
 namespace citrongap {
 
 namespace {
 
-struct Server {
-  ServerDescription About;
-  std::set<std::uint32_t> FreeSlots;
-};
-
-struct Waiting {
-  JobRequest Job;
-  std::uint64_t Order = 0;
-};
+/// Without events, passes come this often: reservations fall due.
+constexpr Millis PassInterval = Seconds(1);
 
 } // namespace
 
-struct PodScheduler::State {
-  PodId Pod;
-  DataCentreId DataCentre;
-  Configuration Lists;
-  std::map<std::pair<RackId, BackendServerId>, Server> Servers;
-  std::map<JobId, Waiting> Queue;
-  std::map<JobId, std::pair<JobRequest, Placement>> Running;
-  std::uint64_t NextOrder = 0;
-
-  Server *find(const BackendServerId &id) {
-    const auto it =
-        std::find_if(Servers.begin(), Servers.end(),
-                     [&](const auto &at) { return at.first.second == id; });
-    return it == Servers.end() ? nullptr : &it->second;
-  }
-
-  void giveBack(const Placement &where) {
-    for (const auto &part : where.Parts)
-      if (Server *server = find(part.Server))
-        server->FreeSlots.insert(part.Slots.begin(), part.Slots.end());
-  }
-
-  void take(const Placement &where) {
-    for (const auto &part : where.Parts)
-      if (Server *server = find(part.Server))
-        for (const auto slot : part.Slots)
-          server->FreeSlots.erase(slot);
-  }
-
-  /// The tightest run of adjacent servers that holds the gang.
-  std::optional<Placement> place(Accelerators gang) const {
-    std::vector<const Server *> order;
-    for (const auto &[key, server] : Servers)
-      if (server.About.State == ServerState::Live)
-        order.push_back(&server);
-    for (std::size_t width = 1; width <= order.size(); ++width)
-      for (std::size_t begin = 0; begin + width <= order.size(); ++begin)
-        if (auto found = fill(order, begin, width, gang))
-          return found;
-    return std::nullopt;
-  }
-
-  static std::optional<Placement> fill(const std::vector<const Server *> &order,
-                                       std::size_t begin, std::size_t width,
-                                       Accelerators gang) {
-    Placement where;
-    std::size_t left = gang.Count;
-    for (std::size_t i = begin; i < begin + width; ++i) {
-      PlacementPart part{order[i]->About.Server, {}};
-      for (const auto slot : order[i]->FreeSlots)
-        if (left > 0) {
-          part.Slots.push_back(slot);
-          --left;
-        }
-      if (!part.Slots.empty())
-        where.Parts.push_back(std::move(part));
-    }
-    if (left > 0)
-      return std::nullopt;
-    return where;
-  }
-};
-
 PodScheduler::PodScheduler(PodId pod, DataCentreId dataCentre)
-    : Self(std::make_unique<State>()) {
-  Self->Pod = std::move(pod);
-  Self->DataCentre = std::move(dataCentre);
-}
+    : Self(std::make_unique<State>(std::move(pod), std::move(dataCentre))) {}
 PodScheduler::~PodScheduler() = default;
 PodScheduler::PodScheduler(PodScheduler &&) noexcept = default;
 PodScheduler &PodScheduler::operator=(PodScheduler &&) noexcept = default;
 
-void PodScheduler::configure(const Configuration &configuration, MonoTime) {
-  Self->Lists = configuration;
+void PodScheduler::configure(const Configuration &configuration, MonoTime now) {
+  Self->takeLists(configuration, now);
 }
 
 void PodScheduler::setServer(const ServerDescription &server, MonoTime) {
-  auto [it, added] = Self->Servers.try_emplace({server.Rack, server.Server});
-  it->second.About = server;
-  if (added)
-    for (std::uint32_t i = 0; i < server.Total.Count; ++i)
-      it->second.FreeSlots.insert(i);
+  if (Self->Cells.setServer(server)) {
+    Self->attachRuns(server.Server);
+    Self->syncQuarantine(server.Server);
+  }
+  if (server.State != ServerState::Live)
+    Self->stopUsing(server.Server);
+  Self->Queue.setCapacity(Self->Cells.total());
+  Self->Changed = true;
 }
 
 void PodScheduler::removeServer(const BackendServerId &server, MonoTime) {
-  std::erase_if(Self->Servers,
-                [&](const auto &it) { return it.first.second == server; });
+  Self->stopUsing(server);
+  Self->Cells.removeServer(server);
+  Self->Health.removeServer(server);
+  Self->Quarantined.erase(server);
+  Self->Queue.setCapacity(Self->Cells.total());
+  Self->Changed = true;
 }
 
 std::variant<std::monostate, NotRun>
-PodScheduler::submit(const JobRequest &job, WallTime wall, MonoTime) {
+PodScheduler::submit(const JobRequest &job, WallTime wall, MonoTime now) {
   if (waiting(job.Id) || running(job.Id))
     return std::monostate{};
-  if (job.Deadline <= wall)
-    return NotRun{"its deadline has passed", 0};
   const PlanEntry *plan = Self->Lists.planOf(job.Id.Account);
-  if (!plan)
-    return NotRun{
-        fmt::format("the account '{}' has no plan", job.Id.Account.str()), 0};
-  if (job.Gang > plan->LargestGang)
-    return NotRun{fmt::format("the plan allows gangs of at most {}",
-                              plan->LargestGang.Count),
-                  0};
-  Self->Queue[job.Id] = {job, Self->NextOrder++};
+  if (auto why = refuseImpossible(job, plan, Self->largestGang(), wall))
+    return *why;
+  if (Self->AtFault.contains(job.Id))
+    return NotRun{"it failed on several servers of good standing", 0};
+  if (auto why = Self->enqueue(job, wall, now))
+    return *why;
   return std::monostate{};
 }
 
-std::vector<Decision> PodScheduler::decide(WallTime wall, MonoTime) {
-  std::vector<Waiting> order;
-  for (const auto &[id, it] : Self->Queue)
-    order.push_back(it);
-  std::sort(order.begin(), order.end(), [](const auto &lhs, const auto &rhs) {
-    return std::pair(lhs.Job.Class, lhs.Order) <
-           std::pair(rhs.Job.Class, rhs.Order);
-  });
+std::vector<Decision> PodScheduler::decide(WallTime wall, MonoTime now) {
   std::vector<Decision> decisions;
-  for (const auto &it : order) {
-    if (it.Job.Deadline <= wall) {
-      Self->Queue.erase(it.Job.Id);
-      decisions.emplace_back(RefuseJob{
-          it.Job.Id, NotRun{"its deadline passed while it waited", 0}});
-      continue;
-    }
-    auto where = Self->place(it.Job.Gang);
-    if (!where)
-      continue;
-    Self->Queue.erase(it.Job.Id);
-    Self->take(*where);
-    Self->Running[it.Job.Id] = {it.Job, *where};
-    decisions.emplace_back(StartJob{it.Job, std::move(*where)});
-  }
+  Self->expire(wall, decisions);
+  if (!Self->Changed && now < Self->NextPass)
+    return decisions;
+  Self->Changed = false;
+  Self->NextPass = now + PassInterval;
+  Self->pass(now, decisions);
   return decisions;
 }
 
 void PodScheduler::adopt(const JobRequest &job, const Placement &where,
-                         MonoTime) {
-  Self->Queue.erase(job.Id);
-  Self->take(where);
-  Self->Running[job.Id] = {job, where};
+                         MonoTime now) {
+  if (running(job.Id))
+    return;
+  Self->Reserved.forget(job.Id);
+  const std::int64_t estimateMs = Self->Times.estimateMs(job, ChargeQuantile);
+  Self->Queue.adopt(job, estimateMs);
+  auto run = std::make_unique<RunningJob>();
+  run->Queued.Job = job;
+  run->Queued.Class = job.Class;
+  run->Queued.EstimateMs = estimateMs;
+  run->Queued.QueuedAt = now;
+  run->Queued.MayHaveRun = true;
+  run->StartedAt = now;
+  run->Where = where;
+  run->Cells = Self->Cells.locate(where);
+  Self->Footprints.giveWay(Self->addRun(std::move(run)));
+  Self->Changed = true;
 }
 
-void PodScheduler::jobEnded(const JobId &job, const RunReport &, MonoTime) {
-  const auto it = Self->Running.find(job);
-  if (it == Self->Running.end())
+void PodScheduler::jobEnded(const JobId &job, const RunReport &report,
+                            MonoTime now) {
+  const auto run = Self->endRun(job);
+  if (!run)
     return;
-  Self->giveBack(it->second.second);
-  Self->Running.erase(it);
+  Self->Queue.finish(job, report.RanMs);
+  if (report.Succeeded)
+    Self->Times.record(job.Account, run->job().Kind, report.RanMs);
+  Self->settleServers(*run, report, now);
 }
 
-void PodScheduler::jobRevoked(const JobId &job, MonoTime) {
-  const auto it = Self->Running.find(job);
-  if (it == Self->Running.end())
-    return;
-  Self->giveBack(it->second.second);
-  Self->Queue[job] = {it->second.first, Self->NextOrder++};
-  Self->Running.erase(it);
+void PodScheduler::jobRevoked(const JobId &job, MonoTime now) {
+  if (auto run = Self->endRun(job)) {
+    const std::int64_t ranMs = (now - run->StartedAt).count();
+    Self->requeue(std::move(run), ranMs, now, true);
+  }
 }
 
 void PodScheduler::startFailed(const JobId &job,
-                               const std::vector<BackendServerId> &,
+                               const std::vector<BackendServerId> &blamed,
                                MonoTime now) {
-  jobRevoked(job, now);
+  for (const BackendServerId &it : blamed) {
+    Self->Health.failed(it, now);
+    Self->syncQuarantine(it);
+  }
+  if (auto run = Self->endRun(job))
+    Self->requeue(std::move(run), 0, now, false);
 }
 
 bool PodScheduler::cancelQueued(const JobId &job) {
-  return Self->Queue.erase(job) > 0;
+  const auto queued = Self->Queue.erase(job);
+  if (!queued)
+    return false;
+  Self->Reserved.forget(job);
+  Self->Preemptions.erase(job);
+  if (queued->Class == ServiceClass::Urgent)
+    Self->Urgency.giveBack(job.Account);
+  Self->Changed = true;
+  return true;
 }
 
 bool PodScheduler::waiting(const JobId &job) const {
@@ -202,22 +141,30 @@
 
 PodSummary PodScheduler::summary(MonoTime) const {
   PodSummary out;
-  for (const auto &[key, server] : Self->Servers) {
-    out.Total += server.About.Total;
-    if (server.About.State == ServerState::Live)
-      out.Free.Count += static_cast<std::uint32_t>(server.FreeSlots.size());
-  }
-  out.LargestFree = out.Free;
-  out.QueuedJobs = static_cast<std::uint32_t>(Self->Queue.size());
+  out.Total = Self->Cells.total();
+  out.Free = Self->Cells.open().available();
+  out.LargestFree = Self->Cells.open().largest(MaxGang);
+  out.QueuedJobs = Self->Queue.size();
   out.RunningJobs = static_cast<std::uint32_t>(Self->Running.size());
+  out.QuarantinedServers = Self->Health.quarantinedCount();
   return out;
 }
 
-std::map<ClientAccountId, std::uint32_t> PodScheduler::queueLengths() const {
-  std::map<ClientAccountId, std::uint32_t> out;
-  for (const auto &[id, it] : Self->Queue)
-    ++out[id.Account];
+std::vector<CarriedShape> PodScheduler::degradedGuarantees() const {
+  return Self->Footprints.degradedShapes();
+}
+
+std::vector<Placement>
+PodScheduler::footprint(const ClientAccountId &account) const {
+  std::vector<Placement> out;
+  for (const FootprintCell *it : Self->Footprints.of(account))
+    if (!it->Where.empty())
+      out.push_back(Self->Cells.describe(it->Where));
   return out;
 }
 
+std::map<ClientAccountId, std::uint32_t> PodScheduler::queueLengths() const {
+  return Self->Queue.lengths();
+}
+
 } // namespace citrongap
