policy: footprints, reservations and reclaim in PodScheduler

Cause: a guaranteed shape could not be reclaimed, large gangs starved, and each decision scanned and sorted everything.

--- a/packages/policy/include/citrongap/policy/cells.h
+++ b/packages/policy/include/citrongap/policy/cells.h
@@ -144,6 +144,8 @@
   /// The narrowest run of racks with `gang` slots of the kind `sum` counts.
   std::vector<RackIndex> narrowestRun(std::uint32_t gang,
                                       std::uint32_t RackSums::*sum) const;
+  std::uint32_t largestAcrossRacks(std::uint32_t limit) const;
+  std::uint32_t slotsIn(RackIndex rack) const;
   GangCells fill(const std::vector<RackIndex> &racks, std::uint32_t gang) const;
   std::vector<ServerIndex> wholeServers(RackIndex rack,
                                         std::uint32_t gang) const;
--- a/packages/policy/include/citrongap/policy/reservation.h
+++ b/packages/policy/include/citrongap/policy/reservation.h
@@ -15,7 +15,10 @@
 #include "citrongap/policy/pod_cells.h"
 
 #include <list>
+#include <map>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace citrongap {
@@ -72,7 +75,13 @@
   bool contains(const JobId &job) const { return ByJob.contains(job); }
   const Reservation *find(ReservationNumber number) const;
   const std::list<Reservation> &all() const { return Open; }
-  std::vector<JobId> jobs() const;
+  /// Something changed on a cell that it holds; 0 is none.
+  void touch(ReservationNumber number);
+  /// Servers or footprints changed: each has to be looked at.
+  void touchAll();
+  /// Jobs whose reservation was touched or reached its PreemptAt since the last
+  /// call, in the order of opening.
+  std::vector<JobId> takeTouched(MonoTime now);
   const Reservation *of(const JobId &job) const;
   /// Accelerators under shared reservations.
   Accelerators shared() const { return Shared; }
@@ -90,6 +99,10 @@
   PodCells &Cells;
   /// In the order of opening.
   std::list<Reservation> Open;
+  std::map<ReservationNumber, const Reservation *> ByNumber;
+  std::set<ReservationNumber> Touched;
+  /// Those whose PreemptAt was not taken yet.
+  std::set<std::pair<MonoTime, ReservationNumber>> Due;
   std::unordered_map<JobId, std::list<Reservation>::iterator> ByJob;
   /// Invariant: never moves to later while the job waits.
   std::unordered_map<JobId, MonoTime> Promised;
--- a/packages/policy/src/cells.cpp
+++ b/packages/policy/src/cells.cpp
@@ -164,14 +164,37 @@
       std::min(ByCount.highestRank(), Layout.largestServer().Count);
   const std::uint32_t inRack =
       std::min(RacksBySlots.highestRank(), Layout.largestRack().Count);
-  std::uint32_t best = inRack > inServer ? inRack : inServer;
-  if (inRack <= Layout.largestServer().Count)
-    best = inServer;
-  for (std::uint32_t gang = std::min(limit.Count, Total);
-       gang > Layout.largestRack().Count; --gang)
-    if (!narrowestRun(gang, &RackSums::Slots).empty())
-      return {gang};
-  return {std::min(best, limit.Count)};
+  std::uint32_t best = inServer;
+  if (inRack > Layout.largestServer().Count)
+    best = inRack;
+  return {
+      std::min(std::max(best, largestAcrossRacks(limit.Count)), limit.Count)};
+}
+
+/// 0 when no run of racks has more than one rack may hold.
+std::uint32_t CellPool::largestAcrossRacks(std::uint32_t limit) const {
+  const auto &order = Layout.rackOrder();
+  const std::uint32_t perRack = Layout.largestRack().Count;
+  std::uint32_t best = 0;
+  for (std::uint32_t need = 2; perRack > 0 && (need - 1) * perRack < limit;
+       ++need) {
+    const std::size_t width = std::size_t{need} * MaxRackSpread;
+    std::uint32_t slots = 0;
+    std::uint32_t most = 0;
+    for (std::size_t end = 0; end < order.size(); ++end) {
+      slots += slotsIn(order[end]);
+      if (end >= width)
+        slots -= slotsIn(order[end - width]);
+      most = std::max(most, slots);
+    }
+    if (most > (need - 1) * perRack)
+      best = std::min(most, need * perRack);
+  }
+  return best;
+}
+
+std::uint32_t CellPool::slotsIn(RackIndex rack) const {
+  return rack.At < Racks.size() ? Racks[rack.At].Slots : 0;
 }
 
 std::optional<ServerIndex> CellPool::tightestServer(std::uint32_t gang) const {
--- a/packages/policy/src/home_rules.cpp
+++ b/packages/policy/src/home_rules.cpp
@@ -35,8 +35,7 @@
 } // namespace
 
 std::optional<HomeChoice> PodScheduler::State::homeIn(const FootprintCell &cell,
-                                                      const JobRequest &job,
-                                                      bool reclaim) {
+                                                      const JobRequest &job) {
   GangCells free;
   GangCells usable;
   for (const ServerCells &part : cell.Where) {
@@ -61,23 +60,34 @@
   const bool oneServer = job.Gang <= Cells.layout().largestServer();
   if (auto where = chooseFrom(std::move(free), gang, oneServer))
     return HomeChoice{std::move(*where), true};
-  if (!reclaim)
-    return std::nullopt;
   if (auto where = chooseFrom(std::move(usable), gang, oneServer))
     return HomeChoice{std::move(*where), false};
   return std::nullopt;
 }
 
+std::uint32_t
+PodScheduler::State::roomAtHome(const ClientAccountId &account) const {
+  std::uint32_t most = 0;
+  for (const FootprintCell *cell : Footprints.of(account)) {
+    std::uint32_t room = 0;
+    forEachSlot(cell->Where, [&](ServerIndex server, std::uint32_t slot) {
+      room += Cells.use(server, slot).atHome() ? 0 : 1;
+    });
+    most = std::max(most, room);
+  }
+  return most;
+}
+
 /// Clear cells before borrowed ones, then the smallest shape, then one that is
 /// in part used already.
-std::optional<HomeChoice> PodScheduler::State::chooseHome(const JobRequest &job,
-                                                          bool reclaim) {
+std::optional<HomeChoice>
+PodScheduler::State::chooseHome(const JobRequest &job) {
   std::optional<HomeChoice> best;
   std::tuple<bool, std::uint32_t, bool> bestRank;
   for (const FootprintCell *cell : Footprints.of(job.Id.Account)) {
     if (cell->Gang < job.Gang || cell->Where.empty())
       continue;
-    auto choice = homeIn(*cell, job, reclaim);
+    auto choice = homeIn(*cell, job);
     if (!choice)
       continue;
     const std::tuple rank(!choice->Clear, cell->Gang.Count,
--- a/packages/policy/src/pod_model_test.h
+++ b/packages/policy/src/pod_model_test.h
@@ -118,8 +118,8 @@
     Revoked.erase(job);
     return request;
   }
-  void end(JobId job) {
-    finish(job);
+  void end(const JobId &ended) {
+    const JobId job = finish(ended).Id;
     Pod.jobEnded(job, {true, 1000, {}}, Now);
   }
   /// Every job that was told to stop has stopped.
--- a/packages/policy/src/pod_property_test.cpp
+++ b/packages/policy/src/pod_property_test.cpp
@@ -149,8 +149,8 @@
         pod.decide();
       }
       reclaimAll(pod);
-      BOOST_TEST(pod.Faults == std::vector<std::string>(),
-                 boost::test_tools::per_element());
+      for (const std::string &it : pod.Faults)
+        BOOST_ERROR(it);
     }
   }
 }
--- a/packages/policy/src/pod_scheduler.cpp
+++ b/packages/policy/src/pod_scheduler.cpp
@@ -87,6 +87,7 @@
   run->Where = where;
   run->Cells = Self->Cells.locate(where);
   Self->Footprints.giveWay(Self->addRun(std::move(run)));
+  Self->Reserved.touchAll();
   Self->Changed = true;
 }
 
--- a/packages/policy/src/pod_state.cpp
+++ b/packages/policy/src/pod_state.cpp
@@ -72,14 +72,16 @@
   Pending.emplace_back(RefuseJob{job.Job.Id, std::move(why), job.MayHaveRun});
 }
 
-void PodScheduler::State::start(JobId job, GangCells where, MonoTime now,
-                                std::vector<Decision> &out) {
-  auto queued = Queue.start(job);
+void PodScheduler::State::start(const JobId &waiting, GangCells where,
+                                MonoTime now, std::vector<Decision> &out) {
+  auto queued = Queue.start(waiting);
   if (!queued)
     return;
-  Reserved.forget(job);
   auto run = std::make_unique<RunningJob>();
   run->Queued = std::move(*queued);
+  // The queue may have owned `waiting`, which is then gone.
+  const JobId &job = run->job().Id;
+  Reserved.forget(job);
   run->StartedAt = now;
   run->Where = Cells.describe(where);
   run->Cells = std::move(where);
@@ -112,6 +114,9 @@
     return nullptr;
   auto run = std::move(it->second);
   Running.erase(it);
+  forEachSlot(run->Cells, [&](ServerIndex server, std::uint32_t slot) {
+    Reserved.touch(Cells.use(server, slot).HeldBy);
+  });
   Cells.vacate(*run);
   AccountUse &use = Uses[job.Account];
   use.InUse -= run->job().Gang;
--- a/packages/policy/src/pod_state.h
+++ b/packages/policy/src/pod_state.h
@@ -38,6 +38,12 @@
   bool Clear = false;
 };
 
+/// Free cells under a reservation, for work that ends before `Until`.
+struct BackfillCells {
+  MonoTime Until;
+  ServerCells Free;
+};
+
 /// Gang sizes for which a pool had no cells in this pass.
 using GangSizes = std::bitset<MaxGang.Count + 1>;
 
@@ -50,7 +56,7 @@
   std::optional<NotRun> enqueue(const JobRequest &job, WallTime wall,
                                 MonoTime now);
   void refuse(const QueuedJob &job, NotRun why);
-  void start(JobId job, GangCells where, MonoTime now,
+  void start(const JobId &waiting, GangCells where, MonoTime now,
              std::vector<Decision> &out);
   /// Starts the books of a run whose job is not in the queue.
   RunningJob &addRun(std::unique_ptr<RunningJob> run);
@@ -76,19 +82,24 @@
   void walkQueue(MonoTime now, std::vector<Decision> &out);
   bool tryStart(const QueuedJob &job, MonoTime now, std::vector<Decision> &out);
   /// Starts at home, or reserves cells there and revokes their borrowers.
-  bool tryHome(const QueuedJob &job, bool reclaim, MonoTime now,
-               std::vector<Decision> &out);
+  void tryHome(const QueuedJob &job, MonoTime now, std::vector<Decision> &out);
   void revokeOccupants(const Reservation &it, std::vector<Decision> &out);
   std::optional<GangCells> cellsFor(CellPool &pool, GangSizes &noRoom,
                                     const JobRequest &job);
+  void collectBackfill(MonoTime now);
+  SlotMask idleSlots(const ServerCells &cells) const;
   std::optional<GangCells> backfillCells(const QueuedJob &job, MonoTime now);
   std::optional<GangCells> probeCells(const QueuedJob &job, MonoTime now);
   void reserve(const QueuedJob &job, MonoTime now, std::vector<Decision> &out);
+  std::optional<GangCells> sharedRegion(const QueuedJob &job, MonoTime now);
 
   // home_rules.cpp: the account's own footprint.
-  std::optional<HomeChoice> chooseHome(const JobRequest &job, bool reclaim);
+  std::optional<HomeChoice> chooseHome(const JobRequest &job);
   std::optional<HomeChoice> homeIn(const FootprintCell &cell,
-                                   const JobRequest &job, bool reclaim);
+                                   const JobRequest &job);
+  /// Most slots in one footprint cell that its account does not use.
+  std::uint32_t roomAtHome(const ClientAccountId &account) const;
+
   /// A footprint cell whose own repeatable work may give way to the job.
   std::optional<GangCells> drainableHome(const JobRequest &job);
 
@@ -122,6 +133,12 @@
   MonoTime NextPass;
   GangSizes NoSurplus;
   GangSizes NoOpen;
+  GangSizes NoMovable;
+  GangSizes NoMovableSurplus;
+  std::uint32_t TriesLeft = 0;
+  std::vector<BackfillCells> Backfill;
+  /// The topology that reservations were checked against.
+  std::uint64_t SeenTopology = 0;
   /// Sum of the weights of the accounts with work, good until
   /// ActiveWeightUntil.
   std::uint64_t ActiveWeight = 0;
--- a/packages/policy/src/reservation.cpp
+++ b/packages/policy/src/reservation.cpp
@@ -27,6 +27,12 @@
   Open.push_back({Last, kind, job.Id, std::move(region), promise->second});
   const auto it = std::prev(Open.end());
   ByJob[job.Id] = it;
+  ByNumber[Last] = &*it;
+  Touched.insert(Last);
+  Due.emplace(it->PreemptAt, Last);
+  forEachSlot(it->Region, [&](ServerIndex server, std::uint32_t slot) {
+    touch(Cells.use(server, slot).HeldBy);
+  });
   Cells.hold(it->Region, it->Number);
   if (kind == ReservationKind::Shared)
     Shared += job.Gang;
@@ -41,6 +47,9 @@
   Cells.letGo(open->Region, open->Number);
   if (open->Kind == ReservationKind::Shared)
     Shared.Count -= slotCount(open->Region);
+  ByNumber.erase(open->Number);
+  Touched.erase(open->Number);
+  Due.erase({open->PreemptAt, open->Number});
   ByJob.erase(it);
   Open.erase(open);
 }
@@ -53,18 +62,31 @@
 const Reservation *Reservations::find(ReservationNumber number) const {
   if (number == ReservationNumber())
     return nullptr;
-  const auto it =
-      std::find_if(Open.begin(), Open.end(), [number](const Reservation &at) {
-        return at.Number == number;
-      });
-  return it == Open.end() ? nullptr : &*it;
+  const auto it = ByNumber.find(number);
+  return it == ByNumber.end() ? nullptr : it->second;
 }
 
-std::vector<JobId> Reservations::jobs() const {
-  std::vector<JobId> out;
-  out.reserve(Open.size());
+void Reservations::touch(ReservationNumber number) {
+  if (number != ReservationNumber())
+    Touched.insert(number);
+}
+
+void Reservations::touchAll() {
   for (const Reservation &it : Open)
-    out.push_back(it.Job);
+    Touched.insert(it.Number);
+}
+
+std::vector<JobId> Reservations::takeTouched(MonoTime now) {
+  while (!Due.empty() && Due.begin()->first <= now) {
+    Touched.insert(Due.begin()->second);
+    Due.erase(Due.begin());
+  }
+  std::vector<JobId> out;
+  out.reserve(Touched.size());
+  for (const ReservationNumber number : Touched)
+    if (const Reservation *it = find(number))
+      out.push_back(it->Job);
+  Touched.clear();
   return out;
 }
 
--- a/packages/policy/src/reservation_test.cpp
+++ b/packages/policy/src/reservation_test.cpp
@@ -75,6 +75,28 @@
   BOOST_TEST(pod.Running.contains(brief.Id));
 }
 
+BOOST_AUTO_TEST_CASE(backfill_survives_gang_that_starts_elsewhere) {
+  PodModel pod(1, 6);
+  fill(pod);
+  pod.submit("large", "gang", 8);
+  pod.pass(StandardTerms.ReserveAfter);
+  pod.decide();
+  // One accelerator under the reservation, and another server as a whole.
+  pod.end(pod.Uses.at({BackendServerId("s100"), 0}));
+  for (std::uint32_t slot = 0; slot < 8; ++slot)
+    pod.end(pod.Uses.at({BackendServerId("s105"), slot}));
+  pod.submit("small", "long", 1);
+  JobRequest brief;
+  brief.Id = PodModel::id("small", "brief");
+  brief.DeclaredRunMs = 1000;
+  brief.Deadline = wallFromMillis(1000000000);
+  pod.Pod.submit(brief, pod.Wall, pod.Now);
+  pod.decide();
+  BOOST_TEST(pod.Running.contains(PodModel::id("large", "gang")));
+  BOOST_TEST(pod.Running.contains(PodModel::id("small", "long")));
+  BOOST_TEST(pod.Faults.empty());
+}
+
 BOOST_AUTO_TEST_CASE(cancelled_gang_gives_its_reserved_cells_back) {
   PodModel pod(1, 6);
   fill(pod);
--- a/packages/policy/src/start_rules.cpp
+++ b/packages/policy/src/start_rules.cpp
@@ -11,12 +11,14 @@
 namespace {
 
 /// Jobs of one account that may be looked at for its own footprint.
-constexpr std::size_t HomeDepth = 64;
+constexpr std::size_t HomeDepth = 32;
 /// Jobs of one account and band that a pass may pass over.
 constexpr std::size_t AccountDepth = 4;
 /// Jobs that a pass may look at while accelerators are free, or none are.
-constexpr std::uint32_t PassDepth = 256;
+constexpr std::uint32_t PassDepth = 128;
 constexpr std::uint32_t FullPassDepth = 16;
+/// Jobs of a pass for which cells to reserve may be looked for.
+constexpr std::uint32_t ReservationTries = 4;
 
 } // namespace
 
@@ -36,20 +38,28 @@
 void PodScheduler::State::pass(MonoTime now, std::vector<Decision> &out) {
   NoSurplus.reset();
   NoOpen.reset();
+  NoMovable.reset();
+  NoMovableSurplus.reset();
+  TriesLeft = ReservationTries;
   Footprints.repack([this](const ClientAccountId &account) {
     const auto it = Uses.find(account);
     return it == Uses.end() ? std::vector<const RunningJob *>()
                             : it->second.Fixed;
   });
-  CheckHome.merge(Footprints.takeChangedAccounts());
+  auto moved = Footprints.takeChangedAccounts();
+  if (!moved.empty() || SeenTopology != Cells.topologyVersion())
+    Reserved.touchAll();
+  SeenTopology = Cells.topologyVersion();
+  CheckHome.merge(moved);
   settleReservations(now, out);
   startGuaranteed(now, out);
+  collectBackfill(now);
   walkQueue(now, out);
 }
 
 void PodScheduler::State::settleReservations(MonoTime now,
                                              std::vector<Decision> &out) {
-  for (const JobId &id : Reserved.jobs()) {
+  for (const JobId &id : Reserved.takeTouched(now)) {
     const QueuedJob *job = Queue.find(id);
     const Reservation &it = *Reserved.of(id);
     if (!job) {
@@ -86,33 +96,35 @@
 void PodScheduler::State::startGuaranteed(MonoTime now,
                                           std::vector<Decision> &out) {
   for (const ClientAccountId &account : std::exchange(CheckHome, {})) {
-    if (Footprints.of(account).empty())
+    const std::uint32_t room = roomAtHome(account);
+    if (room == 0)
       continue;
-    for (const JobId &id : Queue.firstOf(account, HomeDepth, now))
-      if (const QueuedJob *job = Queue.find(id); !Reserved.contains(id))
-        tryHome(*job, true, now, out);
+    for (const JobId &id : Queue.firstOf(account, HomeDepth, now)) {
+      const QueuedJob *job = Queue.find(id);
+      if (job->Job.Gang.Count <= room && !Reserved.contains(id))
+        tryHome(*job, now, out);
+    }
   }
 }
 
-bool PodScheduler::State::tryHome(const QueuedJob &job, bool reclaim,
-                                  MonoTime now, std::vector<Decision> &out) {
-  auto home = chooseHome(job.Job, reclaim);
+void PodScheduler::State::tryHome(const QueuedJob &job, MonoTime now,
+                                  std::vector<Decision> &out) {
+  auto home = chooseHome(job.Job);
   if (!home)
-    return false;
+    return;
   if (home->Clear) {
     start(job.Job.Id, std::move(home->Where), now, out);
-    return true;
+    return;
   }
   // Free surplus cells spare the borrowers.
   if (auto where = cellsFor(Cells.surplus(), NoSurplus, job.Job);
       where && (job.Job.Repeatable || !Footprints.degraded())) {
     start(job.Job.Id, std::move(*where), now, out);
-    return true;
+    return;
   }
   revokeOccupants(Reserved.open(ReservationKind::Footprint, job.Job,
                                 std::move(home->Where), now),
                   out);
-  return true;
 }
 
 void PodScheduler::State::walkQueue(MonoTime now, std::vector<Decision> &out) {
@@ -130,21 +142,18 @@
 bool PodScheduler::State::tryStart(const QueuedJob &job, MonoTime now,
                                    std::vector<Decision> &out) {
   const JobRequest &it = job.Job;
-  const bool reserved = Reserved.contains(it.Id);
-  if (!reserved && tryHome(job, false, now, out))
-    return true;
   auto where = probeCells(job, now);
   if (!where && (it.Repeatable || !Footprints.degraded()))
     where = cellsFor(Cells.surplus(), NoSurplus, it);
   if (!where && it.Repeatable)
     where = cellsFor(Cells.open(), NoOpen, it);
-  if (!where && it.Repeatable && !reserved)
+  if (!where && it.Repeatable)
     where = backfillCells(job, now);
   if (where) {
     start(it.Id, std::move(*where), now, out);
     return true;
   }
-  if (!reserved)
+  if (now >= job.QueuedAt + reservationTerms(job.Class).ReserveAfter)
     reserve(job, now, out);
   return false;
 }
@@ -173,10 +182,32 @@
   return elsewhere ? elsewhere : where;
 }
 
+/// Lists the free cells under reservations that still drain.
+void PodScheduler::State::collectBackfill(MonoTime now) {
+  Backfill.clear();
+  for (const Reservation &it : Reserved.all()) {
+    if (it.PreemptAt <= now)
+      continue;
+    for (const ServerCells &part : it.Region)
+      if (const SlotMask free = idleSlots(part);
+          free != 0 && Cells.placeable(part.Server))
+        Backfill.push_back({it.PreemptAt, {part.Server, free}});
+  }
+}
+
+SlotMask PodScheduler::State::idleSlots(const ServerCells &cells) const {
+  SlotMask idle = 0;
+  forEachSlot({cells}, [&](ServerIndex server, std::uint32_t slot) {
+    if (!Cells.use(server, slot).Run)
+      idle |= SlotMask{1} << slot;
+  });
+  return idle;
+}
+
 /// Held cells of a reservation that the job should leave in time.
 std::optional<GangCells>
 PodScheduler::State::backfillCells(const QueuedJob &job, MonoTime now) {
-  if (Reserved.all().empty() || job.Class == ServiceClass::Urgent ||
+  if (Backfill.empty() || job.Class == ServiceClass::Urgent ||
       job.Job.Gang > Cells.layout().largestServer())
     return std::nullopt;
   const auto stopped = Preemptions.find(job.Job.Id);
@@ -184,18 +215,15 @@
     return std::nullopt;
   const MonoTime end =
       now + Millis(Times.estimateMs(job.Job, BackfillQuantile));
-  for (const Reservation &it : Reserved.all()) {
-    if (it.PreemptAt < end)
+  for (BackfillCells &it : Backfill) {
+    if (it.Until < end || slotCount(it.Free.Slots) < job.Job.Gang.Count)
       continue;
-    for (const ServerCells &part : it.Region) {
-      SlotMask free = 0;
-      forEachSlot({part}, [&](ServerIndex server, std::uint32_t slot) {
-        if (!Cells.use(server, slot).Run)
-          free |= SlotMask{1} << slot;
-      });
-      if (Cells.placeable(part.Server) && slotCount(free) >= job.Job.Gang.Count)
-        return GangCells{{part.Server, chooseSlots(free, job.Job.Gang.Count)}};
-    }
+    // A reservation may have ended in this pass and its cells been taken.
+    it.Free.Slots &= idleSlots(it.Free);
+    if (slotCount(it.Free.Slots) < job.Job.Gang.Count)
+      continue;
+    const SlotMask slots = chooseSlots(it.Free.Slots, job.Job.Gang.Count);
+    return GangCells{{it.Free.Server, slots}};
   }
   return std::nullopt;
 }
@@ -209,12 +237,7 @@
     const auto server = Cells.find(id);
     if (!server || !Cells.live(*server) || !Health.probeDue(id, now))
       continue;
-    SlotMask free = 0;
-    const SlotMask slots = Cells.layout().slotsOf(*server);
-    forEachSlot({{*server, slots}}, [&](ServerIndex at, std::uint32_t slot) {
-      if (!Cells.use(at, slot).Run)
-        free |= SlotMask{1} << slot;
-    });
+    const SlotMask free = idleSlots({*server, Cells.layout().slotsOf(*server)});
     if (slotCount(free) >= job.Job.Gang.Count)
       return GangCells{{*server, chooseSlots(free, job.Job.Gang.Count)}};
   }
@@ -223,25 +246,18 @@
 
 void PodScheduler::State::reserve(const QueuedJob &job, MonoTime now,
                                   std::vector<Decision> &out) {
-  const ReservationTerms terms = reservationTerms(job.Class);
-  if (now < job.QueuedAt + terms.ReserveAfter)
-    return;
-  const MonoTime preemptAt = now + terms.DrainFor;
-  if (auto home = drainableHome(job.Job)) {
-    Reserved.open(ReservationKind::Footprint, job.Job, std::move(*home),
-                  preemptAt);
+  if (TriesLeft == 0 || Reserved.contains(job.Job.Id))
     return;
+  const MonoTime preemptAt = now + reservationTerms(job.Class).DrainFor;
+  if (!Footprints.of(job.Job.Id.Account).empty()) {
+    --TriesLeft;
+    if (auto home = drainableHome(job.Job)) {
+      Reserved.open(ReservationKind::Footprint, job.Job, std::move(*home),
+                    preemptAt);
+      return;
+    }
   }
-  const Accelerators shared = Reserved.shared();
-  const bool room =
-      shared.Count == 0 ||
-      (shared + job.Job.Gang).Count * MaxReservedPart <= Cells.total().Count;
-  if (!room || !withinShare(job.Job, now) ||
-      (!job.Job.Repeatable && Footprints.degraded()))
-    return;
-  CellPool &pool =
-      job.Job.Repeatable ? Cells.movable() : Cells.movableSurplus();
-  auto region = pool.find(job.Job.Gang);
+  auto region = sharedRegion(job, now);
   if (!region)
     return;
   const Reservation &it = Reserved.open(ReservationKind::Shared, job.Job,
@@ -250,4 +266,19 @@
     revokeOccupants(it, out);
 }
 
+std::optional<GangCells> PodScheduler::State::sharedRegion(const QueuedJob &job,
+                                                           MonoTime now) {
+  const Accelerators shared = Reserved.shared();
+  const bool room =
+      shared.Count == 0 ||
+      (shared + job.Job.Gang).Count * MaxReservedPart <= Cells.total().Count;
+  if (!room || !withinShare(job.Job, now))
+    return std::nullopt;
+  if (job.Job.Repeatable)
+    return cellsFor(Cells.movable(), NoMovable, job.Job);
+  if (Footprints.degraded())
+    return std::nullopt;
+  return cellsFor(Cells.movableSurplus(), NoMovableSurplus, job.Job);
+}
+
 } // namespace citrongap
