--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,7 @@
 
 clean:
 	@rm -rf $(BUILD)
+
+# make bench  tables of the policy bench, ours against baselines and the bound
+bench: build
+	@$(BUILD)/testing/bench/policy_bench $(ARGS)
