--- a/packages/policy/include/citrongap/policy/pod_scheduler.h
+++ b/packages/policy/include/citrongap/policy/pod_scheduler.h
@@ -5,6 +5,7 @@
 
 #include "citrongap/base/outcome.h"
 #include "citrongap/policy/configuration.h"
+#include "citrongap/policy/guarantee_packing.h"
 #include "citrongap/policy/job.h"
 
 #include <cstdint>
@@ -29,10 +30,12 @@
   std::string Reason;
 };
 
-/// The job leaves the queue and never ran.
+/// The job leaves the queue and never ran, unless `RanBefore`: then a part of
+/// it ran before it was revoked, and "not run" would be false.
 struct RefuseJob {
   JobId Job;
   NotRun Why;
+  bool RanBefore = false;
 };
 
 using Decision = std::variant<StartJob, RevokeJob, RefuseJob>;
@@ -106,6 +109,10 @@
   bool waiting(const JobId &job) const;
   bool running(const JobId &job) const;
   PodSummary summary(MonoTime now) const;
+  /// Guaranteed shapes that have no cells now: the guarantee is degraded.
+  std::vector<CarriedShape> degradedGuarantees() const;
+  /// The cells of the account's guaranteed shapes that have some.
+  std::vector<Placement> footprint(const ClientAccountId &account) const;
   /// Waiting jobs of each account.
   std::map<ClientAccountId, std::uint32_t> queueLengths() const;
 
