--- a/packages/policy/include/citrongap/policy/fair_queue.h
+++ b/packages/policy/include/citrongap/policy/fair_queue.h
@@ -88,10 +88,16 @@
 
   bool contains(const JobId &job) const { return Index.contains(job); }
   const QueuedJob *find(const JobId &job) const;
+  /// Those of the account's next `depth` jobs that may start now, in order.
+  std::vector<JobId> firstOf(const ClientAccountId &account, std::size_t depth,
+                             MonoTime now) const;
   std::uint32_t size() const {
     return static_cast<std::uint32_t>(Index.size());
   }
   std::map<ClientAccountId, std::uint32_t> lengths() const;
+  std::uint32_t lengthOf(const ClientAccountId &account) const;
+  /// Sum of the weights of the accounts that have waiting jobs.
+  std::uint64_t waitingWeight() const { return WaitingWeight; }
   /// Accelerator-milliseconds charged per weight; never negative.
   double tagOf(const ClientAccountId &account) const;
 
--- a/packages/policy/src/fair_queue.cpp
+++ b/packages/policy/src/fair_queue.cpp
@@ -237,6 +237,23 @@
   return it == Index.end() ? nullptr : &*it->second.It;
 }
 
+std::vector<JobId> FairQueue::firstOf(const ClientAccountId &account,
+                                      std::size_t depth, MonoTime now) const {
+  std::vector<JobId> out;
+  const auto it = Accounts.find(account);
+  if (it == Accounts.end())
+    return out;
+  for (const JobList &list : it->second.Waiting) {
+    for (const QueuedJob &job : list) {
+      if (depth-- == 0)
+        return out;
+      if (job.NotBefore <= now)
+        out.push_back(job.Job.Id);
+    }
+  }
+  return out;
+}
+
 std::map<ClientAccountId, std::uint32_t> FairQueue::lengths() const {
   std::map<ClientAccountId, std::uint32_t> out;
   for (const auto &[id, account] : Accounts)
@@ -245,6 +262,11 @@
   return out;
 }
 
+std::uint32_t FairQueue::lengthOf(const ClientAccountId &account) const {
+  const auto it = Accounts.find(account);
+  return it == Accounts.end() ? 0 : it->second.Length;
+}
+
 double FairQueue::tagOf(const ClientAccountId &account) const {
   const auto it = Accounts.find(account);
   return it == Accounts.end() ? 0 : it->second.Tag;
