--- a/testing/scenario/include/citrongap/history/history.h
+++ b/testing/scenario/include/citrongap/history/history.h
@@ -18,12 +18,15 @@
 
 namespace citrongap::history {
 
-/// What a caller got for one call. The last three are no answer at all.
+/// What a caller got for one call: an outcome, a promise to go on, or (the last
+/// three) no answer at all.
 enum class AnswerKind : std::uint8_t {
   Done,
   Failed,
   NotRun,
   Unknown,
+  /// The job is held and its outcome can be asked for.
+  Accepted,
   /// A refused connection; the request never left the caller.
   NotSent,
   /// The connection was closed before the whole answer.
@@ -32,7 +35,7 @@
 };
 
 /// True for the four outcomes.
-inline bool isOutcome(AnswerKind it) { return it < AnswerKind::NotSent; }
+inline bool isOutcome(AnswerKind it) { return it < AnswerKind::Accepted; }
 const char *toString(AnswerKind it);
 
 /// What one part of a job said in a whole answer.
@@ -57,6 +60,8 @@
   MonoTime At;
   JobId Job;
   bool Repeatable = true;
+  /// A cancellation, which starts nothing.
+  bool Cancels = false;
   Accelerators Gang;
   EntryVmId Node;
   /// What each part's result must be.
--- a/testing/scenario/include/citrongap/scenario/scenario.h
+++ b/testing/scenario/include/citrongap/scenario/scenario.h
@@ -100,10 +100,9 @@
   std::vector<EntryVmId> Through;
 };
 
-using Action =
-    std::variant<KillNode, StartNode, DrainNode, FreezeNode, CutPlatform,
-                 CutCentres, CutServers, PlatformFault, ServerFault,
-                 LeaveServer, Submit, Flood, Publish>;
+using Action = std::variant<KillNode, StartNode, DrainNode, FreezeNode,
+                            CutPlatform, CutCentres, CutServers, PlatformFault,
+                            ServerFault, LeaveServer, Submit, Flood, Publish>;
 
 struct TimedAction {
   /// Counted from the moment when the whole site is ready.
--- a/testing/scenario/src/history/check_outcomes.cpp
+++ b/testing/scenario/src/history/check_outcomes.cpp
@@ -16,18 +16,23 @@
 
 /// True when `ask` may have led to a start at `at`.
 bool explains(const Ask &ask, MonoTime at) {
-  return ask.At <= at && !told(ask, AnswerKind::NotRun) &&
+  return !ask.Cancels && ask.At <= at && !told(ask, AnswerKind::NotRun) &&
          !told(ask, AnswerKind::NotSent);
 }
 
 /// True when `refusal`, told "not run", leaves room for a start at `at`: a
-/// call that was open beside it, or came later, explains that start.
+/// call that was open beside it, or came later, explains that start. A
+/// cancellation speaks for the calls beside it too.
 bool leavesRoom(const Ask &refusal, const std::vector<const Ask *> &asks,
                 MonoTime at) {
   if (at <= refusal.At)
     return false;
   return std::any_of(asks.begin(), asks.end(), [&](const Ask *it) {
-    return explains(*it, at) && (!it->Got || it->Got->At > refusal.At);
+    if (!explains(*it, at))
+      return false;
+    if (refusal.Cancels)
+      return it->At > refusal.Got->At;
+    return !it->Got || it->Got->At > refusal.At;
   });
 }
 
--- a/testing/scenario/src/history/checker_test.cpp
+++ b/testing/scenario/src/history/checker_test.cpp
@@ -194,6 +194,23 @@
   BOOST_TEST(story.broken() == Good);
 }
 
+BOOST_AUTO_TEST_CASE(a_start_after_a_cancellation_told_not_run_is_found) {
+  Story story;
+  story.asked(0, "1", "k")
+      .line(
+          R"({"at":20,"who":"caller","event":"asked","ask":"2","account":"garam","key":"k","repeatable":true,"cancels":true,"gang":1,"node":"e1","expected":"k"})");
+  story.answered(30, "2", "not_run").answered(70, "1", "accepted");
+  BOOST_TEST(story.broken() == Good);
+  story.released(40, "k", "t").ended(50, "k", "t");
+  BOOST_TEST(story.broken() == only(Rule::TruthfulNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(an_accepted_job_without_an_outcome_is_found) {
+  Story story;
+  story.asked(0, "1", "k").answered(30, "1", "accepted");
+  BOOST_TEST(story.broken() == only(Rule::EveryRequestAnswered));
+}
+
 BOOST_AUTO_TEST_CASE(a_task_that_nobody_asked_for_is_found) {
   Story story;
   story.released(10, "k", "t").ended(20, "k", "t");
--- a/testing/scenario/src/history/history_reader.cpp
+++ b/testing/scenario/src/history/history_reader.cpp
@@ -12,11 +12,12 @@
 
 namespace {
 
-constexpr std::array<std::pair<const char *, AnswerKind>, 7> AnswerNames{
+constexpr std::array<std::pair<const char *, AnswerKind>, 8> AnswerNames{
     {{"done", AnswerKind::Done},
      {"failed", AnswerKind::Failed},
      {"not_run", AnswerKind::NotRun},
      {"unknown", AnswerKind::Unknown},
+     {"accepted", AnswerKind::Accepted},
      {"not_sent", AnswerKind::NotSent},
      {"cut", AnswerKind::Cut},
      {"timed_out", AnswerKind::TimedOut}}};
@@ -147,6 +148,7 @@
     ask.At = at;
     ask.Job = In.job();
     ask.Repeatable = In.flag("repeatable");
+    ask.Cancels = In.Line.contains("cancels") && In.flag("cancels");
     ask.Gang = {In.count("gang")};
     ask.Node = EntryVmId(In.text("node"));
     ask.Expected = In.text("expected");
--- /dev/null
+++ b/testing/scenario/src/scenario/caller.h
@@ -0,0 +1,57 @@
+// Callers of the system behind a balancer: they ask, retry with the same key
+// on any entry VM, and record each call and each answer.
+#ifndef CITRONGAP_SCENARIO_SRC_CALLER_H
+#define CITRONGAP_SCENARIO_SRC_CALLER_H
+
+#include "citrongap/base/random.h"
+#include "citrongap/net/http_client.h"
+#include "citrongap/standins/history_file.h"
+#include "site.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace citrongap::scenario {
+
+class Caller {
+public:
+  Caller(EventLoop &loop, const Site &site, standins::HistoryFile &history,
+         Random &random);
+  ~Caller();
+
+  /// Asks for one job and goes on until it has an outcome that stays.
+  void submit(const JobShape &shape);
+  /// Jobs without an outcome that stays.
+  std::size_t openJobs() const { return Open.size(); }
+
+private:
+  struct Job;
+
+  void ask(Job &job);
+  void send(Job &job, const std::string &ask, const Site::Node &node);
+  void cancel(Job &job);
+  void onAnswer(const JobId &id, const std::string &ask,
+                const HttpResult &result);
+  void askAgain(Job &job, MonoTime at);
+  void recordAsk(const Job &job, const std::string &ask, const Site::Node &node,
+                 bool cancels);
+  void recordAnswer(const std::string &ask, const nlohmann::json &answer);
+  HttpClient &nextClient();
+  const Site::Node &anyNode();
+
+  EventLoop &Loop;
+  const Site &Where;
+  standins::HistoryFile &History;
+  Random &Draw;
+  std::vector<std::unique_ptr<HttpClient>> Clients;
+  std::size_t NextClient = 0;
+  std::uint64_t NextAsk = 1;
+  std::uint64_t NextKey = 1;
+  std::map<JobId, std::unique_ptr<Job>> Open;
+};
+
+} // namespace citrongap::scenario
+
+#endif // CITRONGAP_SCENARIO_SRC_CALLER_H
