--- a/testing/scenario/include/citrongap/history/history.h
+++ b/testing/scenario/include/citrongap/history/history.h
@@ -38,6 +38,9 @@
 inline bool isOutcome(AnswerKind it) { return it < AnswerKind::Accepted; }
 const char *toString(AnswerKind it);
 
+/// Only a submission may start the job.
+enum class CallKind : std::uint8_t { Submit, Query, Cancel };
+
 /// What one part of a job said in a whole answer.
 struct PartResult {
   TaskId Task;
@@ -60,8 +63,7 @@
   MonoTime At;
   JobId Job;
   bool Repeatable = true;
-  /// A cancellation, which starts nothing.
-  bool Cancels = false;
+  CallKind Kind = CallKind::Submit;
   Accelerators Gang;
   EntryVmId Node;
   /// What each part's result must be.
--- a/testing/scenario/src/history/check_outcomes.cpp
+++ b/testing/scenario/src/history/check_outcomes.cpp
@@ -16,8 +16,8 @@
 
 /// True when `ask` may have led to a start at `at`.
 bool explains(const Ask &ask, MonoTime at) {
-  return !ask.Cancels && ask.At <= at && !told(ask, AnswerKind::NotRun) &&
-         !told(ask, AnswerKind::NotSent);
+  return ask.Kind == CallKind::Submit && ask.At <= at &&
+         !told(ask, AnswerKind::NotRun) && !told(ask, AnswerKind::NotSent);
 }
 
 /// True when `refusal`, told "not run", leaves room for a start at `at`: a
@@ -30,7 +30,7 @@
   return std::any_of(asks.begin(), asks.end(), [&](const Ask *it) {
     if (!explains(*it, at))
       return false;
-    if (refusal.Cancels)
+    if (refusal.Kind == CallKind::Cancel)
       return it->At > refusal.Got->At;
     return !it->Got || it->Got->At > refusal.At;
   });
--- a/testing/scenario/src/history/checker_test.cpp
+++ b/testing/scenario/src/history/checker_test.cpp
@@ -18,7 +18,7 @@
   Story &asked(int at, const std::string &ask, const std::string &key,
                bool repeatable = true, int gang = 1) {
     return line(fmt::format(
-        R"({{"at":{},"who":"caller","event":"asked","ask":"{}","account":"garam","key":"{}","repeatable":{},"gang":{},"node":"e1","expected":"{}"}})",
+        R"({{"at":{},"who":"caller","event":"asked","ask":"{}","account":"garam","key":"{}","call":"submit","repeatable":{},"gang":{},"node":"e1","expected":"{}"}})",
         at, ask, key, repeatable, gang, key));
   }
   Story &answered(int at, const std::string &ask, const std::string &outcome) {
@@ -198,13 +198,23 @@
   Story story;
   story.asked(0, "1", "k")
       .line(
-          R"({"at":20,"who":"caller","event":"asked","ask":"2","account":"garam","key":"k","repeatable":true,"cancels":true,"gang":1,"node":"e1","expected":"k"})");
+          R"({"at":20,"who":"caller","event":"asked","ask":"2","account":"garam","key":"k","repeatable":true,"call":"cancel","gang":1,"node":"e1","expected":"k"})");
   story.answered(30, "2", "not_run").answered(70, "1", "accepted");
   BOOST_TEST(story.broken() == Good);
   story.released(40, "k", "t").ended(50, "k", "t");
   BOOST_TEST(story.broken() == only(Rule::TruthfulNotRun));
 }
 
+BOOST_AUTO_TEST_CASE(a_query_starts_nothing) {
+  Story story;
+  story.asked(0, "1", "k")
+      .answered(10, "1", "not_run")
+      .line(
+          R"({"at":20,"who":"caller","event":"asked","ask":"2","account":"garam","key":"k","repeatable":true,"call":"query","gang":1,"node":"e1","expected":"k"})");
+  story.released(30, "k", "t").ended(40, "k", "t").answered(50, "2", "unknown");
+  BOOST_TEST(story.broken() == only(Rule::TruthfulNotRun));
+}
+
 BOOST_AUTO_TEST_CASE(an_accepted_job_without_an_outcome_is_found) {
   Story story;
   story.asked(0, "1", "k").answered(30, "1", "accepted");
--- a/testing/scenario/src/history/history_reader.cpp
+++ b/testing/scenario/src/history/history_reader.cpp
@@ -29,6 +29,11 @@
      {"lapsed", TaskStatus::Lapsed},
      {"dropped", TaskStatus::Dropped}}};
 
+constexpr std::array<std::pair<const char *, CallKind>, 3> CallNames{
+    {{"submit", CallKind::Submit},
+     {"query", CallKind::Query},
+     {"cancel", CallKind::Cancel}}};
+
 /// Typed reads of one line; `Wrong` names the first bad member.
 struct Fields {
   const json &Line;
@@ -148,7 +153,7 @@
     ask.At = at;
     ask.Job = In.job();
     ask.Repeatable = In.flag("repeatable");
-    ask.Cancels = In.Line.contains("cancels") && In.flag("cancels");
+    ask.Kind = named(CallNames, In, "call");
     ask.Gang = {In.count("gang")};
     ask.Node = EntryVmId(In.text("node"));
     ask.Expected = In.text("expected");
--- a/testing/scenario/src/scenario/caller.cpp
+++ b/testing/scenario/src/scenario/caller.cpp
@@ -2,6 +2,7 @@
 #include "caller.h"
 
 #include "caller_answer.h"
+#include "citrongap/standins/json_fields.h"
 
 #include <arpa/inet.h>
 #include <cerrno>
@@ -13,6 +14,7 @@
 
 namespace citrongap::scenario {
 
+using history::CallKind;
 using nlohmann::json;
 
 namespace {
@@ -51,6 +53,18 @@
   return error != ECONNREFUSED;
 }
 
+const char *nameOf(CallKind kind) {
+  switch (kind) {
+  case CallKind::Submit:
+    return "submit";
+  case CallKind::Query:
+    return "query";
+  case CallKind::Cancel:
+    return "cancel";
+  }
+  return "submit";
+}
+
 } // namespace
 
 struct Caller::Job {
@@ -60,6 +74,8 @@
   MonoTime GiveUpAt;
   int Refusals = 0;
   bool Canceled = false;
+  /// The system said that it holds the job.
+  bool Held = false;
   Timer Again;
   Timer Cancel;
 
@@ -92,16 +108,27 @@
 void Caller::ask(Job &job) {
   const Site::Node &node = anyNode();
   const std::string ask = fmt::format("{}", NextAsk++);
-  recordAsk(job, ask, node, false);
+  const bool query = job.Held && Draw.between(0, 1) == 0;
+  const auto kind = query ? CallKind::Query : CallKind::Submit;
+  recordAsk(job, ask, node, kind);
   if (!listening(node.Http)) {
     recordAnswer(ask, {{"outcome", "not_sent"}});
     askAgain(job, monoNow() + RetryPause);
     return;
   }
-  send(job, ask, node);
+  nextClient().call(node.Http, requestOf(job, kind), monoNow() + CallPatience,
+                    [this, id = job.Id, ask](const HttpResult &it) {
+                      onAnswer(id, ask, it);
+                    });
 }
 
-void Caller::send(Job &job, const std::string &ask, const Site::Node &node) {
+HttpRequest Caller::requestOf(const Job &job, CallKind kind) const {
+  const std::string wait = fmt::format("?wait_ms={}", CallWait.count());
+  const std::string path = "/v1/jobs/" + job.Id.str();
+  if (kind == CallKind::Query)
+    return {"GET", path + wait, "", ""};
+  if (kind == CallKind::Cancel)
+    return {"DELETE", path, "", ""};
   const JobShape &shape = job.Shape;
   const json payload{{"run_ms", shape.Run.count()},
                      {"fail", shape.Fails},
@@ -115,13 +142,7 @@
                   {"run_ms", shape.Run.count()},
                   {"kind", "scenario"},
                   {"payload", payload}};
-  const std::string target =
-      fmt::format("/v1/jobs?wait_ms={}", CallWait.count());
-  nextClient().call(node.Http, {"POST", target, body.dump(), ""},
-                    monoNow() + CallPatience,
-                    [this, id = job.Id, ask](const HttpResult &it) {
-                      onAnswer(id, ask, it);
-                    });
+  return {"POST", "/v1/jobs" + wait, body.dump(), ""};
 }
 
 void Caller::cancel(Job &job) {
@@ -129,11 +150,10 @@
   if (!listening(node.Http))
     return;
   const std::string ask = fmt::format("{}", NextAsk++);
-  recordAsk(job, ask, node, true);
+  recordAsk(job, ask, node, CallKind::Cancel);
   job.Canceled = true;
   nextClient().call(
-      node.Http, {"DELETE", "/v1/jobs/" + job.Id.str(), "", ""},
-      monoNow() + CallPatience,
+      node.Http, requestOf(job, CallKind::Cancel), monoNow() + CallPatience,
       [this, ask](const HttpResult &it) { recordAnswer(ask, answerOf(it)); });
 }
 
@@ -145,7 +165,8 @@
   if (it == Open.end())
     return;
   Job &job = *it->second;
-  const std::string outcome = answer["outcome"];
+  const std::string outcome = standins::textField(answer, "outcome");
+  job.Held = holds(result);
   const auto after = retryAfter(result);
   const bool refused = outcome == "not_run" && after > 0 && !job.Canceled &&
                        job.Refusals < MaxRefusals;
@@ -168,19 +189,18 @@
 }
 
 void Caller::recordAsk(const Job &job, const std::string &ask,
-                       const Site::Node &node, bool cancels) {
-  json line{{"at", toMillis(monoNow())},
-            {"who", "caller"},
-            {"event", "asked"},
-            {"ask", ask},
-            {"account", job.Id.Account.str()},
-            {"key", job.Id.Key.str()},
-            {"repeatable", job.Shape.Repeatable},
-            {"gang", job.Shape.Gang.Count},
-            {"node", node.Id.str()},
-            {"expected", job.expected()}};
-  if (cancels)
-    line["cancels"] = true;
+                       const Site::Node &node, CallKind kind) {
+  const json line{{"at", toMillis(monoNow())},
+                  {"who", "caller"},
+                  {"event", "asked"},
+                  {"ask", ask},
+                  {"call", nameOf(kind)},
+                  {"account", job.Id.Account.str()},
+                  {"key", job.Id.Key.str()},
+                  {"repeatable", job.Shape.Repeatable},
+                  {"gang", job.Shape.Gang.Count},
+                  {"node", node.Id.str()},
+                  {"expected", job.expected()}};
   History.write(line);
 }
 
--- a/testing/scenario/src/scenario/caller.h
+++ b/testing/scenario/src/scenario/caller.h
@@ -4,6 +4,7 @@
 #define CITRONGAP_SCENARIO_SRC_CALLER_H
 
 #include "citrongap/base/random.h"
+#include "citrongap/history/history.h"
 #include "citrongap/net/http_client.h"
 #include "citrongap/standins/history_file.h"
 #include "site.h"
@@ -30,13 +31,14 @@
   struct Job;
 
   void ask(Job &job);
-  void send(Job &job, const std::string &ask, const Site::Node &node);
+  /// Submits, or asks for the outcome of a job that was taken.
+  HttpRequest requestOf(const Job &job, history::CallKind kind) const;
   void cancel(Job &job);
   void onAnswer(const JobId &id, const std::string &ask,
                 const HttpResult &result);
   void askAgain(Job &job, MonoTime at);
   void recordAsk(const Job &job, const std::string &ask, const Site::Node &node,
-                 bool cancels);
+                 history::CallKind kind);
   void recordAnswer(const std::string &ask, const nlohmann::json &answer);
   HttpClient &nextClient();
   const Site::Node &anyNode();
--- a/testing/scenario/src/scenario/caller_answer.h
+++ b/testing/scenario/src/scenario/caller_answer.h
@@ -12,6 +12,9 @@
 /// The members "outcome", "results" and "reason" of an `answered` line.
 nlohmann::json answerOf(const HttpResult &result);
 
+/// True when the system says that it has the job, so that it may be asked for.
+bool holds(const HttpResult &result);
+
 /// Milliseconds after which a refused call may be made again; 0 for never.
 std::int64_t retryAfter(const HttpResult &result);
 
--- a/testing/scenario/src/scenario/runner.cpp
+++ b/testing/scenario/src/scenario/runner.cpp
@@ -3,6 +3,7 @@
 #include "runner.h"
 
 #include "citrongap/base/log.h"
+#include "citrongap/standins/json_fields.h"
 #include "node_run.h"
 
 #include <algorithm>
@@ -220,16 +221,17 @@
   const auto *response = std::get_if<HttpResponse>(&result);
   if (!response)
     return;
-  const json status = json::parse(response->Body, nullptr, false);
-  if (!status.is_object() || !status.contains("revision") ||
-      !status["revision"].is_number_unsigned())
+  const auto status = standins::parseObject(response->Body);
+  const auto revision =
+      status ? standins::numberField(*status, "revision", -1) : -1;
+  if (revision < 0)
     return;
   node.Answered = true;
-  const Revision at(status["revision"].get<std::uint64_t>());
-  const json pod = status.value("pod", json::object());
-  node.OwnsWholePod = pod.value("owned_here", false) &&
-                      !pod.value("recovering", true) &&
-                      pod.value("unready_servers", json::array()).empty();
+  const Revision at(static_cast<std::uint64_t>(revision));
+  const json pod = standins::objectField(*status, "pod");
+  node.OwnsWholePod = standins::boolField(pod, "owned_here", false) &&
+                      !standins::boolField(pod, "recovering", true) &&
+                      standins::arrayField(pod, "unready_servers").empty();
   if (node.Told && node.InForce == at)
     return;
   node.Told = true;
--- a/testing/standins/src/json_fields.h
+++ b/testing/standins/include/citrongap/standins/json_fields.h
@@ -1,6 +1,6 @@
 // Reads of JSON members with a fallback for missing or mistyped ones.
-#ifndef CITRONGAP_STANDINS_SRC_JSON_FIELDS_H
-#define CITRONGAP_STANDINS_SRC_JSON_FIELDS_H
+#ifndef CITRONGAP_STANDINS_JSON_FIELDS_H
+#define CITRONGAP_STANDINS_JSON_FIELDS_H
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -20,6 +20,10 @@
 std::int64_t numberField(const nlohmann::json &object, const char *name,
                          std::int64_t fallback);
 bool boolField(const nlohmann::json &object, const char *name, bool fallback);
+/// An empty object when there is none.
+nlohmann::json objectField(const nlohmann::json &object, const char *name);
+/// An empty array when there is none.
+nlohmann::json arrayField(const nlohmann::json &object, const char *name);
 /// The texts of an array; other items are left out.
 std::vector<std::string> textsField(const nlohmann::json &object,
                                     const char *name);
@@ -29,4 +33,4 @@
 
 } // namespace citrongap::standins
 
-#endif // CITRONGAP_STANDINS_SRC_JSON_FIELDS_H
+#endif // CITRONGAP_STANDINS_JSON_FIELDS_H
--- a/testing/standins/src/backend_json.cpp
+++ b/testing/standins/src/backend_json.cpp
@@ -1,6 +1,6 @@
 // JSON of the backend server's calls and answers.
 #include "backend_json.h"
-#include "json_fields.h"
+#include "citrongap/standins/json_fields.h"
 
 namespace citrongap::standins {
 
@@ -48,7 +48,7 @@
 }
 
 std::optional<PrepareTask> prepareOf(const json &body) {
-  const json job = body.value("job", json::object());
+  const json job = objectField(body, "job");
   const auto slots = indexesField(body, "slots");
   const auto part = numberField(body, "part", -1);
   const auto parts = numberField(body, "parts", -1);
@@ -56,8 +56,8 @@
   const auto term = numberField(body, "task_ttl_ms", -1);
   PrepareTask out;
   out.Task = TaskId(textField(body, "task"));
-  if (!job.is_object() || out.Task.empty() || !slots || part < 0 ||
-      parts <= part || startBy < 0 || term <= 0)
+  if (out.Task.empty() || !slots || part < 0 || parts <= part || startBy < 0 ||
+      term <= 0)
     return std::nullopt;
   out.Job = {ClientAccountId(textField(job, "account")),
              RequestKey(textField(job, "key"))};
--- a/testing/standins/src/backend_main.cpp
+++ b/testing/standins/src/backend_main.cpp
@@ -1,7 +1,7 @@
 // citrongap_backend_standin: many backend servers' stand-ins in one program.
 #include "citrongap/base/log.h"
 #include "citrongap/standins/backend_service.h"
-#include "json_fields.h"
+#include "citrongap/standins/json_fields.h"
 #include "program.h"
 
 #include <csignal>
--- a/testing/standins/src/backend_service.cpp
+++ b/testing/standins/src/backend_service.cpp
@@ -1,7 +1,7 @@
 // Routes of a backend server's stand-in and its faults.
 #include "citrongap/standins/backend_service.h"
 #include "backend_json.h"
-#include "json_fields.h"
+#include "citrongap/standins/json_fields.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/testing/standins/src/history_file.cpp
+++ b/testing/standins/src/history_file.cpp
@@ -1,6 +1,6 @@
 // Writes history lines.
 #include "citrongap/standins/history_file.h"
-#include "json_fields.h"
+#include "citrongap/standins/json_fields.h"
 
 namespace citrongap::standins {
 
--- a/testing/standins/src/json_fields.cpp
+++ b/testing/standins/src/json_fields.cpp
@@ -1,5 +1,5 @@
 // Reads of JSON members.
-#include "json_fields.h"
+#include "citrongap/standins/json_fields.h"
 
 namespace citrongap::standins {
 
@@ -33,6 +33,16 @@
   return it != object.end() && it->is_boolean() ? it->get<bool>() : fallback;
 }
 
+json objectField(const json &object, const char *name) {
+  const auto it = object.find(name);
+  return it != object.end() && it->is_object() ? *it : json::object();
+}
+
+json arrayField(const json &object, const char *name) {
+  const auto it = object.find(name);
+  return it != object.end() && it->is_array() ? *it : json::array();
+}
+
 std::vector<std::string> textsField(const json &object, const char *name) {
   std::vector<std::string> out;
   const auto it = object.find(name);
--- a/testing/standins/src/platform_service.cpp
+++ b/testing/standins/src/platform_service.cpp
@@ -1,6 +1,6 @@
 // Routes of the platform's stand-in and its faults.
 #include "citrongap/standins/platform_service.h"
-#include "json_fields.h"
+#include "citrongap/standins/json_fields.h"
 
 #include <algorithm>
 #include <cstdlib>
--- a/testing/standins/src/vm_list_model.cpp
+++ b/testing/standins/src/vm_list_model.cpp
@@ -1,6 +1,8 @@
 // The lagging list of VMs.
 #include "citrongap/standins/vm_list_model.h"
 
+#include "citrongap/standins/json_fields.h"
+
 #include <utility>
 
 namespace citrongap::standins {
@@ -45,9 +47,9 @@
   json list = Versions.front().List;
   for (auto &it : list) {
     const auto addresses = it.find("addresses");
-    if (addresses == it.end())
+    if (addresses == it.end() || !addresses->is_object())
       continue;
-    const json own = addresses->value(viewer, json::object());
+    const json own = objectField(*addresses, viewer.c_str());
     it.erase("addresses");
     it.update(own);
   }
