--- a/testing/scenario/src/scenario/process.cpp
+++ b/testing/scenario/src/scenario/process.cpp
@@ -30,6 +30,7 @@
 Process::Process(std::vector<std::string> arguments,
                  const std::string &logPath) {
   std::vector<char *> argv;
+  argv.reserve(arguments.size() + 1);
   for (auto &it : arguments)
     argv.push_back(it.data());
   argv.push_back(nullptr);
--- a/testing/scenario/src/scenario/relay.cpp
+++ b/testing/scenario/src/scenario/relay.cpp
@@ -180,8 +180,9 @@
     session = std::make_unique<UdpSession>(this, endpointOf(from),
                                            udpSocket({Listen.Ip, 0}));
     const sockaddr_in target = addressOf(Target);
-    connect(session->Socket, reinterpret_cast<const sockaddr *>(&target),
-            sizeof target);
+    // A connected socket gets replies from the target only; this can't fail.
+    (void)connect(session->Socket, reinterpret_cast<const sockaddr *>(&target),
+                  sizeof target);
     session->Reply = event_new(
         Loop.base(), session->Socket, EV_READ | EV_PERSIST,
         [](evutil_socket_t, short, void *arg) {
--- a/testing/scenario/src/scenario/runner.cpp
+++ b/testing/scenario/src/scenario/runner.cpp
@@ -210,7 +210,8 @@
       continue;
     it->Polling = true;
     Http.call(it->About.Http, {"GET", "/v1/status", "", ""},
-              monoNow() + Seconds(1), [this, &node = *it](HttpResult result) {
+              monoNow() + Seconds(1),
+              [this, &node = *it](const HttpResult &result) {
                 node.Polling = false;
                 onStatus(node, result);
               });
--- a/testing/scenario/src/scenario/runner.h
+++ b/testing/scenario/src/scenario/runner.h
@@ -60,7 +60,7 @@
   void perform(const Publish &it);
 
   void publishOne(const Site::Node &node, Revision base, std::uint32_t weight,
-                  std::shared_ptr<int> accepted);
+                  const std::shared_ptr<int> &accepted);
   void mustConverge(Revision revision);
   void post(const Endpoint &to, const std::string &body);
   void sendVmList();
--- a/testing/scenario/src/scenario/runner_actions.cpp
+++ b/testing/scenario/src/scenario/runner_actions.cpp
@@ -188,7 +188,8 @@
 }
 
 void Runner::publishOne(const Site::Node &node, Revision base,
-                        std::uint32_t weight, std::shared_ptr<int> accepted) {
+                        std::uint32_t weight,
+                        const std::shared_ptr<int> &accepted) {
   Configuration wanted = Lists;
   for (auto &[id, plan] : wanted.Plans)
     plan.Weight = weight;
