--- a/packages/daemon/include/citrongap/daemon/claim_port.h
+++ b/packages/daemon/include/citrongap/daemon/claim_port.h
@@ -71,7 +71,7 @@
   /// The log's last word on a job, as far as it was read here.
   virtual std::optional<Outcome> outcomeOf(const JobId &job) const = 0;
   /// The log names the job, so that it may be owed an outcome.
-  virtual bool names(const JobId &job) const = 0;
+  virtual bool names(const JobRequest &job) const = 0;
   /// Accepted jobs without an outcome, as far as the log was read here.
   virtual std::vector<JobRequest> owed() const = 0;
 };
--- a/packages/daemon/include/citrongap/daemon/http_api.h
+++ b/packages/daemon/include/citrongap/daemon/http_api.h
@@ -2,6 +2,7 @@
 #ifndef CITRONGAP_DAEMON_HTTP_API_H
 #define CITRONGAP_DAEMON_HTTP_API_H
 
+#include "citrongap/base/random.h"
 #include "citrongap/daemon/job_front.h"
 #include "citrongap/net/http_server.h"
 #include "citrongap/policy/configuration.h"
@@ -54,6 +55,7 @@
     std::uint32_t Taken = 0;
   };
 
+  Random Ids = Random::fromDevice();
   NodeServices &Node;
   JobFront &Front;
   std::size_t MaxOpen;
--- a/packages/daemon/include/citrongap/daemon/ledger_claims.h
+++ b/packages/daemon/include/citrongap/daemon/ledger_claims.h
@@ -28,10 +28,11 @@
              const Outcome &outcome,
              std::function<void(Recorded)> callback) override;
   std::optional<Outcome> outcomeOf(const JobId &job) const override;
-  bool names(const JobId &job) const override;
+  bool names(const JobRequest &job) const override;
   std::vector<JobRequest> owed() const override;
 
 private:
+  void write(JobEnded record, std::function<void(Recorded)> callback);
   void askForPod();
   void claimAnew(const JobRequest &job, bool fenced,
                  const std::function<void(const ClaimAnswer &)> &callback);
--- a/packages/daemon/include/citrongap/daemon/pod_owner.h
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -68,6 +68,8 @@
   struct OwnedJob {
     JobRequest Job;
     std::set<EntryVmId> Fronts;
+    /// Submissions that share this outcome.
+    std::set<std::string> Submissions;
     JobStage Stage = JobStage::Waiting;
     /// Set when ended.
     std::optional<Outcome> Ended;
@@ -113,6 +115,8 @@
   OwnedJob &knownJob(const JobRequest &job);
   /// Null when the job is not known, runs or has ended.
   OwnedJob *openJob(const JobId &id);
+  /// A new submission of a key that was refused starts afresh.
+  void forgetRefusal(const JobRequest &job);
   void answerSubmissions(const JobId &id);
   /// Runs it here or has another pod run it.
   void place(const JobId &id);
--- a/packages/daemon/src/http_api.cpp
+++ b/packages/daemon/src/http_api.cpp
@@ -132,7 +132,8 @@
   const auto parsed = parseSubmission(request.Body);
   if (const auto *findings = std::get_if<Findings>(&parsed))
     return responder.send({BadRequest, findingsJson(*findings)});
-  const auto &job = std::get<JobRequest>(parsed);
+  auto job = std::get<JobRequest>(parsed);
+  job.Submission = Ids.uniqueId();
   Findings findings = check(job);
   const auto wait = waitOf(request.Target);
   if (!wait)
--- a/packages/daemon/src/job_front.cpp
+++ b/packages/daemon/src/job_front.cpp
@@ -37,6 +37,10 @@
 JobFront::Submitted JobFront::submit(const PodId &pod, const JobRequest &job,
                                      MonoTime waitUntil,
                                      AnswerCallback callback) {
+  const auto known = Jobs.find(job.Id);
+  if (known != Jobs.end() && known->second.Final &&
+      mayTryAgain(*known->second.Ended))
+    Jobs.erase(known);
   const auto [it, added] = Jobs.try_emplace(job.Id);
   if (!added && !sameRequest(it->second.Job, job))
     return KeyReused{};
--- a/packages/daemon/src/job_json.cpp
+++ b/packages/daemon/src/job_json.cpp
@@ -42,8 +42,8 @@
       add(key, "is empty");
     if (text.size() > MaxNameBytes)
       add(key, fmt::format("is longer than {} bytes", MaxNameBytes));
-    if (text.find_first_of("/\n\r") != std::string::npos)
-      add(key, "contains a slash or a line break");
+    if (text.find_first_of("/#\n\r") != std::string::npos)
+      add(key, "contains a slash, a number sign or a line break");
     return text;
   }
 
@@ -219,6 +219,7 @@
 
 std::string encodeAttempt(const AttemptRecord &record) {
   json out = jobToJson(record.Job);
+  out["submission"] = record.Job.Submission;
   out["attempt"] = record.Attempt;
   out["placement"] = placementToJson(record.Where);
   return dump(out);
@@ -234,6 +235,9 @@
   Findings findings;
   AttemptRecord record;
   record.Job = readJob(object, findings);
+  const auto submission = object.find("submission");
+  if (submission != object.end() && submission->is_string())
+    record.Job.Submission = submission->get<std::string>();
   record.Attempt = object["attempt"].get<std::string>();
   auto where = placementFromJson(object["placement"]);
   if (!where || !findings.empty())
--- a/packages/daemon/src/ledger_claims.cpp
+++ b/packages/daemon/src/ledger_claims.cpp
@@ -29,6 +29,12 @@
   return never ? Recorded::No : Recorded::Unclear;
 }
 
+/// Accepted jobs and refusals are of one submission of the key; claims and
+/// results are of the key itself.
+JobId submissionOf(const JobRequest &job) {
+  return {job.Id.Account, RequestKey(job.Id.Key.str() + "#" + job.Submission)};
+}
+
 } // namespace
 
 LedgerClaims::LedgerClaims(EventLoop &loop, LogPort &log, const EntryVmId &self)
@@ -74,7 +80,7 @@
     claimAnew(job, fenced, callback);
     return;
   }
-  if (names(job.Id) || Writer.logReachable())
+  if (names(job) || Writer.logReachable())
     callback(ClaimDeferred{"the log does not name this holder yet"});
   else
     callback(ClaimDenied{NotRun{
@@ -86,7 +92,7 @@
     const JobRequest &job, bool fenced,
     const std::function<void(const ClaimAnswer &)> &callback) {
   const WallTime startBy = std::min(job.Deadline, wallNow() + StartWithin);
-  const bool named = names(job.Id);
+  const bool named = names(job);
   Writer.claim(
       {job.Id, Pod, *Held, startBy, job.Deadline}, monoNow() + ClaimPatience,
       [this, job, fenced, startBy, named, callback,
@@ -166,6 +172,11 @@
                          const Outcome &outcome,
                          std::function<void(Recorded)> callback) {
   JobEnded record{job.Id, std::nullopt, job.Deadline, outcome};
+  if (std::holds_alternative<NotRun>(outcome)) {
+    record.Job = submissionOf(job);
+    write(std::move(record), std::move(callback));
+    return;
+  }
   const JobEntry *entry = Writer.ledger().find(job.Id);
   const bool ours = entry && entry->Claim && entry->Claim->Pod == Pod;
   const bool known = ours && (!claim || entry->Claim->Id.str() == *claim);
@@ -176,6 +187,11 @@
   if (known)
     record.Under =
         EndedClaim{entry->Claim->Id, Pod, Held->Term, entry->Claim->Order};
+  write(std::move(record), std::move(callback));
+}
+
+void LedgerClaims::write(JobEnded record,
+                         std::function<void(Recorded)> callback) {
   Writer.recordEnded(std::move(record), monoNow() + RecordPatience,
                      [callback = std::move(callback)](const RecordFate &fate) {
                        callback(recordedOf(fate));
@@ -187,23 +203,18 @@
   return entry ? entry->Result : std::nullopt;
 }
 
-bool LedgerClaims::names(const JobId &job) const {
-  return Writer.ledger().find(job) != nullptr;
+bool LedgerClaims::names(const JobRequest &job) const {
+  return Writer.ledger().find(job.Id) ||
+         Writer.ledger().find(submissionOf(job));
 }
 
 std::vector<JobRequest> LedgerClaims::owed() const {
   std::vector<JobRequest> out;
-  const auto take = [&](const std::vector<const JobEntry *> &entries) {
-    for (const JobEntry *it : entries) {
-      const auto record =
-          it->Accepted ? decodeAttempt(*it->Accepted) : std::nullopt;
-      if (record)
-        out.push_back(record->Job);
-    }
-  };
-  take(Writer.ledger().waitingJobs());
-  if (!Pod.empty())
-    take(Writer.ledger().openClaims(Pod));
+  for (const JobEntry *it : Writer.ledger().waitingJobs()) {
+    const auto record = decodeAttempt(*it->Accepted);
+    if (record && !outcomeOf(record->Job.Id))
+      out.push_back(record->Job);
+  }
   return out;
 }
 
--- a/packages/daemon/src/pod_owner_jobs.cpp
+++ b/packages/daemon/src/pod_owner_jobs.cpp
@@ -31,8 +31,10 @@
 void PodOwner::submit(const JobRequest &job,
                       const std::optional<EntryVmId> &front, bool delegated,
                       ViewCallback callback) {
+  forgetRefusal(job);
   const bool known = Jobs.contains(job.Id);
   OwnedJob &owned = knownJob(job);
+  owned.Submissions.insert(job.Submission);
   if (front && !owned.Ended)
     owned.Fronts.insert(*front);
   if (!known) {
@@ -50,6 +52,16 @@
   it->second.SubmitCallbacks.push_back(std::move(callback));
 }
 
+void PodOwner::forgetRefusal(const JobRequest &job) {
+  const auto it = Jobs.find(job.Id);
+  if (it == Jobs.end() || !it->second.Ended || Untold.contains(job.Id))
+    return;
+  const bool anew = mayTryAgain(*it->second.Ended) &&
+                    !it->second.Submissions.contains(job.Submission);
+  if (anew)
+    Jobs.erase(it);
+}
+
 void PodOwner::answerSubmissions(const JobId &id) {
   const auto it = Jobs.find(id);
   if (it == Jobs.end())
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -14,6 +14,13 @@
 const EntryVmId FrontB("front-b");
 void ignore(const JobView &) {}
 
+/// Empty when it is done.
+std::string reasonOf(const Outcome &outcome) {
+  return std::visit(Overloaded{[](const Done &) { return std::string(); },
+                               [](const auto &it) { return it.Reason; }},
+                    outcome);
+}
+
 PodTerms shortTerms() {
   PodTerms terms;
   terms.LeaseTerm = Millis(300);
@@ -48,7 +55,7 @@
   std::optional<Outcome> outcomeOf(const JobId &) const override {
     return std::nullopt;
   }
-  bool names(const JobId &) const override { return false; }
+  bool names(const JobRequest &) const override { return false; }
   std::vector<JobRequest> owed() const override { return Owed; }
 
   ClaimAnswer Next = ClaimGranted{"claim", wallNow() + Seconds(10)};
@@ -304,6 +311,8 @@
     site.Owner->submit(Fixture::job("k" + std::to_string(i), 1), FrontA, false,
                        ignore);
   BOOST_REQUIRE(site.until([&] { return site.Ended.size() == 10; }));
+  for (const auto &[id, outcome] : site.Ended)
+    BOOST_TEST(reasonOf(outcome) == "");
   BOOST_TEST(site.Servers.prepares(BackendServerId("s0")) == 0U);
   BOOST_TEST(site.Servers.prepares(BackendServerId("s1")) == 10U);
 }
@@ -375,3 +384,21 @@
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_CHECK(site.endedAs<Done>(job));
 }
+
+BOOST_AUTO_TEST_CASE(a_refused_key_may_be_submitted_anew_and_then_runs) {
+  Fixture site;
+  const ClaimAnswer granted = site.Claims.Next;
+  site.Claims.Next = ClaimDenied{NotRun{"the log is away", 1000}};
+  auto job = Fixture::job("k", 1, false);
+  job.Submission = "first";
+  site.Owner->submit(job, FrontA, false, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.endedAs<NotRun>(job); }));
+  site.Claims.Next = granted;
+  site.Owner->submit(job, FrontA, false, ignore);
+  site.Loop.runUntil(monoNow() + Millis(300));
+  BOOST_TEST(site.Servers.releases(job.Id) == 0U);
+  job.Submission = "second";
+  site.Owner->submit(job, FrontA, false, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.endedAs<Done>(job); }));
+  BOOST_TEST(site.Servers.releases(job.Id) == 1U);
+}
--- a/packages/policy/include/citrongap/policy/job.h
+++ b/packages/policy/include/citrongap/policy/job.h
@@ -39,11 +39,14 @@
   std::string Kind;
   /// Handed to every task as it came.
   std::string Payload;
+  /// Unique for each time a caller submits the key; set by the front.
+  std::string Submission;
 
   /// cereal hook.
   template <typename Archive> void serialize(Archive &ar) {
     std::int64_t deadline = toMillis(Deadline);
-    ar(Id, Class, Gang, Repeatable, deadline, DeclaredRunMs, Kind, Payload);
+    ar(Id, Class, Gang, Repeatable, deadline, DeclaredRunMs, Kind, Payload,
+       Submission);
     Deadline = wallFromMillis(deadline);
   }
 };
