--- a/packages/peer/include/citrongap/peer/swim_state.h
+++ b/packages/peer/include/citrongap/peer/swim_state.h
@@ -29,9 +29,6 @@
   /// From suspicion to death; a process that is paused for less survives.
   Millis Suspicion{3000};
   Millis FarSuspicion{6000};
-  /// A suspect is asked once more so long before the end of its suspicion, and
-  /// again every AckTimeout.
-  Millis LastAsk{800};
   /// A dead member that the list does not name is kept so long.
   Millis ForgetAfter{60000};
   /// Between full exchanges with one random member.
@@ -76,8 +73,6 @@
     /// When a suspect dies, or when a dead member that isn't listed is
     /// forgotten; no meaning in other states.
     MonoTime StateEnds;
-    /// When a suspect is asked again, so that it can refute before it is dead.
-    MonoTime AskAt;
   };
   struct Probe {
     EntryVmId Target;
--- a/packages/peer/src/swim_probing.cpp
+++ b/packages/peer/src/swim_probing.cpp
@@ -33,7 +33,6 @@
 void SwimState::startSuspicion(MonoTime now, Peer &peer) {
   peer.StateEnds =
       now + (isNear(peer.Known) ? Settings.Suspicion : Settings.FarSuspicion);
-  peer.AskAt = peer.StateEnds - Settings.LastAsk;
 }
 
 void SwimState::expire(MonoTime now) {
@@ -41,12 +40,8 @@
                 [now](const auto &it) { return it.second.Expires <= now; });
   for (auto it = Peers.begin(); it != Peers.end();) {
     Peer &peer = it->second;
-    if (peer.Known.State == MemberState::Suspect && peer.StateEnds <= now) {
+    if (peer.Known.State == MemberState::Suspect && peer.StateEnds <= now)
       setState(now, peer, MemberState::Dead);
-    } else if (peer.Known.State == MemberState::Suspect && peer.AskAt <= now) {
-      peer.AskAt = now + Settings.AckTimeout;
-      ping(peer, NextSequence++);
-    }
     const bool forget = peer.Known.State == MemberState::Dead &&
                         peer.StateEnds <= now && !peer.Listed;
     it = forget ? Peers.erase(it) : std::next(it);
--- a/packages/peer/src/swim_state.cpp
+++ b/packages/peer/src/swim_state.cpp
@@ -61,8 +61,9 @@
   if (message.Sender.Id == Self.Id)
     return;
   const auto known = Peers.find(message.Sender.Id);
-  const bool firstContact =
-      known != Peers.end() && known->second.Known.Incarnation == 0;
+  const bool firstContact = known != Peers.end() &&
+                            known->second.Known.Incarnation == 0 &&
+                            known->second.Known.State == MemberState::Alive;
   apply(now, message.Sender);
   // Everyone has the list: that its members run is no news.
   if (firstContact && message.Sender.State == MemberState::Alive)
@@ -171,15 +172,17 @@
   Peer &peer = Peers[member.Id];
   peer.Known = member;
   peer.Listed = listed;
-  // Targets are taken from the back: a newcomer is probed next.
-  (isNear(member) ? Near : Far).Round.push_back(member.Id);
+  // At a random place: nodes that read the same list at the same time must not
+  // all probe the same member.
+  auto &round = (isNear(member) ? Near : Far).Round;
+  const auto at = Chance.between(0, round.size());
+  round.insert(round.begin() + static_cast<std::ptrdiff_t>(at), member.Id);
 }
 
 void SwimState::setState(MonoTime now, Peer &peer, MemberState state) {
   peer.Known.State = state;
   if (state == MemberState::Suspect)
-    peer.StateEnds =
-        now + (isNear(peer.Known) ? Settings.Suspicion : Settings.FarSuspicion);
+    startSuspicion(now, peer);
   if (state == MemberState::Dead)
     peer.StateEnds = now + Settings.ForgetAfter;
   Updates.add(peer.Known);
--- a/packages/peer/src/swim_state_test.cpp
+++ b/packages/peer/src/swim_state_test.cpp
@@ -15,7 +15,8 @@
 
   Fixture() {
     Net.addAll(8, 1);
-    Net.run(Millis(3000));
+    // Two rounds of probes: everyone has heard from everyone.
+    Net.run(Millis(8000));
     Net.Observations.clear();
   }
 
@@ -66,6 +67,23 @@
   BOOST_TEST(Net.state(Victim).self().Incarnation > memberOf(3, 0).Incarnation);
 }
 
+BOOST_AUTO_TEST_CASE(pauses_of_a_second_kill_nobody_in_a_large_group) {
+  for (const std::uint64_t seed : {8U, 10U}) {
+    FakeNetwork net(seed);
+    net.addAll(150, 15);
+    net.run(Millis(10000));
+    for (std::size_t n = 0; n < 8; ++n) {
+      net.freeze(vmId(n));
+      net.run(Millis(1000));
+      net.thaw(vmId(n));
+      net.run(Millis(1000));
+    }
+    net.run(Millis(6000));
+    for (const auto &it : net.Observations)
+      BOOST_TEST((it.About.State != MemberState::Dead));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(member_that_wakes_declares_nobody_dead) {
   Net.freeze(Victim);
   Net.run(Millis(30000));
@@ -78,6 +96,26 @@
   BOOST_TEST(Net.allSee(Victim, MemberState::Alive));
 }
 
+BOOST_AUTO_TEST_CASE(timers_that_are_due_on_waking_judge_nobody) {
+  const MonoTime start = monoFromMillis(1000000);
+  SwimState state(memberOf(0, 0), Random(1), SwimSettings(), start);
+  state.setListed(start, {memberOf(1, 0), memberOf(2, 0)});
+  SwimMessage news;
+  news.Kind = SwimKind::News;
+  news.Sender = memberOf(1, 0);
+  news.Updates = {memberOf(2, 0)};
+  news.Updates.front().State = MemberState::Suspect;
+  // A probe is open and a suspicion runs when the process is paused.
+  for (int ms = 0; ms <= 600; ms += 100)
+    state.tick(start + Millis(ms));
+  state.receive(start + Millis(650), news.Sender.Address, news);
+  state.takeChanges();
+  state.tick(start + Millis(30000));
+  for (const SwimChange &it : state.takeChanges())
+    BOOST_TEST((it.About.State == MemberState::Alive));
+  BOOST_TEST((state.members().at(2).State == MemberState::Suspect));
+}
+
 BOOST_AUTO_TEST_CASE(lost_datagrams_kill_nobody) {
   Net.Loss = 0.1;
   Net.run(Millis(120000));
