--- a/packages/ledger/include/citrongap/ledger/job_record.h
+++ b/packages/ledger/include/citrongap/ledger/job_record.h
@@ -104,7 +104,7 @@
 struct JobEntry {
   JobId Job;
   WallTime Deadline;
-  /// The serialized job, once accepted.
+  /// The serialized job, once accepted and until it has its outcome.
   std::optional<std::string> Accepted;
   std::optional<ClaimHolding> Claim;
   std::optional<Outcome> Result;
--- a/packages/ledger/src/claim_ledger.cpp
+++ b/packages/ledger/src/claim_ledger.cpp
@@ -85,6 +85,8 @@
 bool ClaimLedger::accept(Place place, const JobAccepted &it) {
   dropExpired(it.Job, place.At);
   JobEntry &entry = entryFor(place, it.Job, it.Deadline);
+  if (entry.Result)
+    return true;
   if (!entry.Accepted)
     entry.Accepted = it.Body;
   return *entry.Accepted == it.Body;
@@ -155,7 +157,9 @@
                    !termIsCurrent(it.Under->Pod, it.Under->Term) ||
                    (holding && holding->Id != it.Under->Claim)))
     return false;
-  entryFor(place, it.Job, it.Deadline).Result = it.Result;
+  JobEntry &entry = entryFor(place, it.Job, it.Deadline);
+  entry.Result = it.Result;
+  entry.Accepted.reset();
   return true;
 }
 
@@ -172,6 +176,8 @@
     entry.Accepted = from.Accepted;
   if (!entry.Result)
     entry.Result = from.Result;
+  if (entry.Result)
+    entry.Accepted.reset();
   if (from.Claim && !Spent.contains(from.Claim->Id) && !entry.Claim)
     entry.Claim = from.Claim;
   // Changes between the writer's state and this offset are not covered.
--- a/packages/ledger/src/claim_writer_test.cpp
+++ b/packages/ledger/src/claim_writer_test.cpp
@@ -128,8 +128,10 @@
   writer.claim(request("k"), soon(10), keep());
   BOOST_TEST(answered());
   result<ClaimUncertain>();
-  // The claim lands, and the void that is still tried frees the key.
-  Log.land();
+  // The claim lands without its void; the void that is still tried frees the
+  // key.
+  Log.HoldAppends = 0;
+  Log.land(1);
   BOOST_TEST(runUntil(Loop, [&] {
     return writer.ledger().spentClaims() == 1 &&
            writer.ledger().find(request("k").Job) == nullptr;
@@ -166,6 +168,30 @@
   BOOST_TEST(successor.ledger().openClaims(Pod).size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(claim_read_past_its_start_by_is_given_back, Fixture) {
+  ClaimWriter writer(Loop, Log, EntryVmId("a"), Random(1), quick());
+  startCaughtUp(writer);
+  Log.Hidden = true;
+  auto asked = request("k");
+  asked.StartBy = wallNow() + Millis(10);
+  writer.claim(asked, soon(), keep());
+  Loop.runUntil(soon(30));
+  Log.Hidden = false;
+  BOOST_TEST(answered());
+  result<ClaimNotMade>();
+  BOOST_TEST(writer.ledger().find(asked.Job) == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(waiting_records_are_bounded, Fixture) {
+  auto settings = quick();
+  settings.Appending.MaxPending = 2;
+  ClaimWriter writer(Loop, Log, EntryVmId("a"), Random(1), settings);
+  for (int i = 0; i < 3; ++i)
+    writer.claim(request(std::to_string(i)), soon(), keep());
+  BOOST_TEST(Results.size() == 1U);
+  result<ClaimNotMade>();
+}
+
 BOOST_FIXTURE_TEST_CASE(claim_of_an_earlier_holder_is_not_made, Fixture) {
   ClaimWriter writer(Loop, Log, EntryVmId("a"), Random(1), quick());
   startCaughtUp(writer);
--- a/packages/ledger/src/mock_log.h
+++ b/packages/ledger/src/mock_log.h
@@ -6,6 +6,7 @@
 #include "citrongap/platform/log_port.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <list>
 #include <utility>
@@ -73,9 +74,9 @@
       it->Expiry = Loop.at(monoNow(), [this, it] { serve(it); });
   }
 
-  /// What was held lands now.
-  void land() {
-    while (!Held.empty()) {
+  /// What was held lands now: the first `n` appends.
+  void land(std::size_t n = SIZE_MAX) {
+    for (; n > 0 && !Held.empty(); --n) {
       const auto bodies = Held.front();
       Held.pop_front();
       store(bodies);
