--- a/packages/ledger/src/mock_log.h
+++ b/packages/ledger/src/mock_log.h
@@ -83,6 +83,12 @@
     }
   }
 
+  /// The first append that is held never lands.
+  void loseHeld() {
+    if (!Held.empty())
+      Held.pop_front();
+  }
+
   void dropBefore(LogOffset first) {
     First = first;
     std::erase_if(Records, [&](const auto &it) { return it.Offset < first; });
