--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,9 @@
 	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
 	@cmake --build $(BUILD)
 
+demo: build
+	@$(BUILD)/testing/demo/citrongap_demo $(BUILD) examples/lahore
+
 test: build
 	@.ci/test $(BUILD)
 
@@ -19,3 +22,7 @@
 
 clean:
 	@rm -rf $(BUILD)
+
+# make bench  tables of the policy bench, ours against baselines and the bound
+bench: build
+	@$(BUILD)/testing/bench/policy_bench $(ARGS)
