--- a/packages/ledger/src/mock_log.h
+++ b/packages/ledger/src/mock_log.h
@@ -6,6 +6,7 @@
 #include "citrongap/platform/log_port.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <list>
 #include <utility>
@@ -73,15 +74,21 @@
       it->Expiry = Loop.at(monoNow(), [this, it] { serve(it); });
   }
 
-  /// What was held lands now.
-  void land() {
-    while (!Held.empty()) {
+  /// What was held lands now: the first `n` appends.
+  void land(std::size_t n = SIZE_MAX) {
+    for (; n > 0 && !Held.empty(); --n) {
       const auto bodies = Held.front();
       Held.pop_front();
       store(bodies);
     }
   }
 
+  /// The first append that is held never lands.
+  void loseHeld() {
+    if (!Held.empty())
+      Held.pop_front();
+  }
+
   void dropBefore(LogOffset first) {
     First = first;
     std::erase_if(Records, [&](const auto &it) { return it.Offset < first; });
