policy: reservations only for gangs larger than a server, passes look deeper

Change: only gangs larger than a server (and urgent work) reserve, terms 5 min + 45 min; borrowers with the least work lost go first; 64 jobs of an account. The model of the tests declares longer runs, since two cases need a run that is longer than the drain.

--- a/packages/policy/include/citrongap/policy/reservation.h
+++ b/packages/policy/include/citrongap/policy/reservation.h
@@ -31,8 +31,8 @@
 };
 
 inline constexpr ReservationTerms UrgentTerms{Millis(0), Millis(0)};
-inline constexpr ReservationTerms StandardTerms{Seconds(60), Seconds(240)};
-inline constexpr ReservationTerms BackgroundTerms{Seconds(600), Seconds(1200)};
+inline constexpr ReservationTerms StandardTerms{Seconds(300), Seconds(2700)};
+inline constexpr ReservationTerms BackgroundTerms{Seconds(1200), Seconds(5400)};
 
 ReservationTerms reservationTerms(ServiceClass it);
 
--- a/packages/policy/src/home_rules.cpp
+++ b/packages/policy/src/home_rules.cpp
@@ -78,19 +78,32 @@
   return most;
 }
 
-/// Clear cells before borrowed ones, then the smallest shape, then one that is
-/// in part used already.
-std::optional<HomeChoice>
-PodScheduler::State::chooseHome(const JobRequest &job) {
+std::int64_t PodScheduler::State::workOn(const GangCells &cells,
+                                         MonoTime now) const {
+  std::int64_t lost = 0;
+  const RunningJob *last = nullptr;
+  forEachSlot(cells, [&](ServerIndex server, std::uint32_t slot) {
+    const RunningJob *run = Cells.use(server, slot).Run;
+    if (run && run != last)
+      lost += ((now - run->StartedAt).count() + 1) * run->job().Gang.Count;
+    last = run;
+  });
+  return lost;
+}
+
+/// Clear cells first, then those where the least work is lost, then the
+/// smallest shape, then one that is in part used already.
+std::optional<HomeChoice> PodScheduler::State::chooseHome(const JobRequest &job,
+                                                          MonoTime now) {
   std::optional<HomeChoice> best;
-  std::tuple<bool, std::uint32_t, bool> bestRank;
+  std::tuple<std::int64_t, std::uint32_t, bool> bestRank;
   for (const FootprintCell *cell : Footprints.of(job.Id.Account)) {
     if (cell->Gang < job.Gang || cell->Where.empty())
       continue;
     auto choice = homeIn(*cell, job);
     if (!choice)
       continue;
-    const std::tuple rank(!choice->Clear, cell->Gang.Count,
+    const std::tuple rank(workOn(choice->Where, now), cell->Gang.Count,
                           Footprints.clear(*cell));
     if (best && bestRank <= rank)
       continue;
--- a/packages/policy/src/pod_model_test.h
+++ b/packages/policy/src/pod_model_test.h
@@ -58,7 +58,7 @@
     job.Gang.Count = gang;
     job.Repeatable = repeatable;
     job.Class = cls;
-    job.DeclaredRunMs = 1000000;
+    job.DeclaredRunMs = 100000000;
     job.Deadline = wallFromMillis(1000000000);
     Pod.submit(job, Wall, Now);
     return job.Id;
--- a/packages/policy/src/pod_state.h
+++ b/packages/policy/src/pod_state.h
@@ -94,7 +94,9 @@
   std::optional<GangCells> sharedRegion(const QueuedJob &job, MonoTime now);
 
   // home_rules.cpp: the account's own footprint.
-  std::optional<HomeChoice> chooseHome(const JobRequest &job);
+  std::optional<HomeChoice> chooseHome(const JobRequest &job, MonoTime now);
+  /// Accelerator-milliseconds that stopping what runs there would lose.
+  std::int64_t workOn(const GangCells &cells, MonoTime now) const;
   std::optional<HomeChoice> homeIn(const FootprintCell &cell,
                                    const JobRequest &job);
   /// Most slots in one footprint cell that its account does not use.
--- a/packages/policy/src/start_rules.cpp
+++ b/packages/policy/src/start_rules.cpp
@@ -13,9 +13,9 @@
 /// Jobs of one account that may be looked at for its own footprint.
 constexpr std::size_t HomeDepth = 32;
 /// Jobs of one account and band that a pass may pass over.
-constexpr std::size_t AccountDepth = 4;
+constexpr std::size_t AccountDepth = 64;
 /// Jobs that a pass may look at while accelerators are free, or none are.
-constexpr std::uint32_t PassDepth = 128;
+constexpr std::uint32_t PassDepth = 256;
 constexpr std::uint32_t FullPassDepth = 16;
 /// Jobs of a pass for which cells to reserve may be looked for.
 constexpr std::uint32_t ReservationTries = 4;
@@ -109,7 +109,7 @@
 
 void PodScheduler::State::tryHome(const QueuedJob &job, MonoTime now,
                                   std::vector<Decision> &out) {
-  auto home = chooseHome(job.Job);
+  auto home = chooseHome(job.Job, now);
   if (!home)
     return;
   if (home->Clear) {
@@ -246,7 +246,10 @@
 
 void PodScheduler::State::reserve(const QueuedJob &job, MonoTime now,
                                   std::vector<Decision> &out) {
-  if (TriesLeft == 0 || Reserved.contains(job.Job.Id))
+  // Smaller gangs get room as work ends; stopping work for them costs more.
+  const bool large = job.Job.Gang > Cells.layout().largestServer();
+  const bool urgent = job.Class == ServiceClass::Urgent;
+  if ((!large && !urgent) || TriesLeft == 0 || Reserved.contains(job.Job.Id))
     return;
   const MonoTime preemptAt = now + reservationTerms(job.Class).DrainFor;
   if (!Footprints.of(job.Job.Id.Account).empty()) {
