--- a/packages/policy/include/citrongap/policy/reservation.h
+++ b/packages/policy/include/citrongap/policy/reservation.h
@@ -31,8 +31,9 @@
 };
 
 inline constexpr ReservationTerms UrgentTerms{Millis(0), Millis(0)};
-inline constexpr ReservationTerms StandardTerms{Seconds(300), Seconds(2700)};
-inline constexpr ReservationTerms BackgroundTerms{Seconds(1200), Seconds(5400)};
+inline constexpr ReservationTerms StandardTerms{Seconds(300), Seconds(6900)};
+inline constexpr ReservationTerms BackgroundTerms{Seconds(1800),
+                                                  Seconds(10800)};
 
 ReservationTerms reservationTerms(ServiceClass it);
 
@@ -43,7 +44,7 @@
 
 /// Shared reservations hold at most 1 / MaxReservedPart of the pod, but always
 /// the first one.
-inline constexpr std::uint32_t MaxReservedPart = 2;
+inline constexpr std::uint32_t MaxReservedPart = 4;
 
 enum class ReservationKind : std::uint8_t {
   /// On a footprint cell of the job's own account.
--- a/packages/policy/src/start_rules.cpp
+++ b/packages/policy/src/start_rules.cpp
@@ -15,7 +15,7 @@
 /// Jobs of one account and band that a pass may pass over.
 constexpr std::size_t AccountDepth = 64;
 /// Jobs that a pass may look at while accelerators are free, or none are.
-constexpr std::uint32_t PassDepth = 256;
+constexpr std::uint32_t PassDepth = 128;
 constexpr std::uint32_t FullPassDepth = 16;
 /// Jobs of a pass for which cells to reserve may be looked for.
 constexpr std::uint32_t ReservationTries = 4;
