policy: an account within its share takes the youngest work beyond one

Change: a gang that fits in a server and waited 30 s, of an account within its fair share, takes the place of the youngest revocable work of the account that is furthest beyond its own.

--- a/packages/policy/include/citrongap/policy/pod_cells.h
+++ b/packages/policy/include/citrongap/policy/pod_cells.h
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <bit>
+#include <list>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -28,6 +29,8 @@
   /// The part of `Where` on known servers.
   GangCells Cells;
   MonoTime StartedAt;
+  /// Its place among the runs of its account.
+  std::list<RunningJob *>::iterator AmongOwn;
   /// RevokeJob was decided.
   bool Revoking = false;
   /// Times that a reservation stopped it.
--- a/packages/policy/include/citrongap/policy/reservation.h
+++ b/packages/policy/include/citrongap/policy/reservation.h
@@ -35,6 +35,11 @@
 inline constexpr ReservationTerms BackgroundTerms{Seconds(1800),
                                                   Seconds(10800)};
 
+/// From then on, a gang that fits in one server and whose account is within its
+/// fair share takes the place of the youngest work of the account that is
+/// furthest beyond its own.
+inline constexpr Millis ShareReclaimAfter = Seconds(30);
+
 ReservationTerms reservationTerms(ServiceClass it);
 
 /// Longest wait of a standard gang that is granted a reservation, without the
--- a/packages/policy/src/pod_state.cpp
+++ b/packages/policy/src/pod_state.cpp
@@ -101,6 +101,7 @@
   RunningJob &it = *run;
   AccountUse &use = Uses[it.job().Id.Account];
   use.InUse += it.job().Gang;
+  it.AmongOwn = use.Runs.insert(use.Runs.end(), &it);
   if (!it.job().Repeatable)
     use.Fixed.push_back(&it);
   Cells.occupy(it);
@@ -120,6 +121,7 @@
   Cells.vacate(*run);
   AccountUse &use = Uses[job.Account];
   use.InUse -= run->job().Gang;
+  use.Runs.erase(run->AmongOwn);
   std::erase(use.Fixed, run.get());
   CheckHome.insert(job.Account);
   Changed = true;
@@ -203,21 +205,47 @@
     Footprints.leaveServer(*at);
 }
 
+std::uint64_t PodScheduler::State::activeWeight(MonoTime now) {
+  if (ActiveWeight != 0 && now < ActiveWeightUntil)
+    return ActiveWeight;
+  ActiveWeight = Queue.waitingWeight();
+  for (const auto &[id, use] : Uses)
+    if (use.InUse.Count > 0 && Queue.lengthOf(id) == 0)
+      if (const PlanEntry *plan = Lists.planOf(id))
+        ActiveWeight += plan->Weight;
+  ActiveWeightUntil = now + ActiveWeightLife;
+  return ActiveWeight;
+}
+
 bool PodScheduler::State::withinShare(const JobRequest &job, MonoTime now) {
-  if (ActiveWeight == 0 || now >= ActiveWeightUntil) {
-    ActiveWeight = Queue.waitingWeight();
-    for (const auto &[id, use] : Uses)
-      if (use.InUse.Count > 0 && Queue.lengthOf(id) == 0)
-        if (const PlanEntry *plan = Lists.planOf(id))
-          ActiveWeight += plan->Weight;
-    ActiveWeightUntil = now + ActiveWeightLife;
-  }
   const PlanEntry *plan = Lists.planOf(job.Id.Account);
   const std::uint32_t inUse = Uses[job.Id.Account].InUse.Count;
-  if (!plan || ActiveWeight == 0)
+  if (!plan)
     return false;
-  return inUse == 0 || (std::uint64_t{inUse} + job.Gang.Count) * ActiveWeight <=
-                           std::uint64_t{plan->Weight} * Cells.total().Count;
+  return inUse == 0 ||
+         (std::uint64_t{inUse} + job.Gang.Count) * activeWeight(now) <=
+             std::uint64_t{plan->Weight} * Cells.total().Count;
+}
+
+const AccountUse *PodScheduler::State::mostBeyondShare(MonoTime now) {
+  if (MostBeyond)
+    return *MostBeyond;
+  const std::uint64_t total = Cells.total().Count;
+  const std::uint64_t active = activeWeight(now);
+  const AccountUse *most = nullptr;
+  double worst = 1;
+  for (const auto &[id, use] : Uses) {
+    const PlanEntry *plan = Lists.planOf(id);
+    const std::uint64_t share = plan ? plan->Weight * total : 1;
+    const double ratio = static_cast<double>(use.InUse.Count * active) /
+                         static_cast<double>(std::max<std::uint64_t>(share, 1));
+    if (ratio <= worst)
+      continue;
+    worst = ratio;
+    most = &use;
+  }
+  MostBeyond = most;
+  return most;
 }
 
 Accelerators PodScheduler::State::largestGang() const {
--- a/packages/policy/src/pod_state.h
+++ b/packages/policy/src/pod_state.h
@@ -16,6 +16,7 @@
 #include "citrongap/policy/urgency_budget.h"
 
 #include <bitset>
+#include <list>
 #include <memory>
 #include <optional>
 #include <set>
@@ -27,6 +28,8 @@
 /// What one account has running in the pod.
 struct AccountUse {
   Accelerators InUse;
+  /// In the order of their starts.
+  std::list<RunningJob *> Runs;
   /// Its unrepeatable jobs.
   std::vector<const RunningJob *> Fixed;
 };
@@ -71,6 +74,9 @@
   void stopUsing(const BackendServerId &server);
   /// Whether its account may have others stopped for the job.
   bool withinShare(const JobRequest &job, MonoTime now);
+  std::uint64_t activeWeight(MonoTime now);
+  /// The account furthest beyond its fair share; null when none is.
+  const AccountUse *mostBeyondShare(MonoTime now);
   /// The largest gang that the pod could hold when empty.
   Accelerators largestGang() const;
 
@@ -91,6 +97,12 @@
   std::optional<GangCells> backfillCells(const QueuedJob &job, MonoTime now);
   std::optional<GangCells> probeCells(const QueuedJob &job, MonoTime now);
   void reserve(const QueuedJob &job, MonoTime now, std::vector<Decision> &out);
+  /// Reserves one server's cells that youngest work beyond a share has.
+  void reclaimShare(const QueuedJob &job, MonoTime now,
+                    std::vector<Decision> &out);
+  std::optional<GangCells> cellsBeside(const RunningJob &victim,
+                                       const JobRequest &job);
+  bool roomToReserve(const JobRequest &job) const;
   std::optional<GangCells> sharedRegion(const QueuedJob &job, MonoTime now);
 
   // home_rules.cpp: the account's own footprint.
@@ -138,6 +150,8 @@
   GangSizes NoMovable;
   GangSizes NoMovableSurplus;
   std::uint32_t TriesLeft = 0;
+  /// mostBeyondShare() of this pass, once it is known.
+  std::optional<const AccountUse *> MostBeyond;
   std::vector<BackfillCells> Backfill;
   /// The topology that reservations were checked against.
   std::uint64_t SeenTopology = 0;
--- a/packages/policy/src/start_rules.cpp
+++ b/packages/policy/src/start_rules.cpp
@@ -20,6 +20,9 @@
 /// Jobs of a pass for which cells to reserve may be looked for.
 constexpr std::uint32_t ReservationTries = 4;
 
+/// Runs of one account that may be looked at for one to stop.
+constexpr std::uint32_t VictimDepth = 32;
+
 } // namespace
 
 void PodScheduler::State::expire(WallTime wall, std::vector<Decision> &out) {
@@ -41,6 +44,7 @@
   NoMovable.reset();
   NoMovableSurplus.reset();
   TriesLeft = ReservationTries;
+  MostBeyond.reset();
   Footprints.repack([this](const ClientAccountId &account) {
     const auto it = Uses.find(account);
     return it == Uses.end() ? std::vector<const RunningJob *>()
@@ -155,6 +159,8 @@
   }
   if (now >= job.QueuedAt + reservationTerms(job.Class).ReserveAfter)
     reserve(job, now, out);
+  if (now >= job.QueuedAt + ShareReclaimAfter)
+    reclaimShare(job, now, out);
   return false;
 }
 
@@ -271,11 +277,7 @@
 
 std::optional<GangCells> PodScheduler::State::sharedRegion(const QueuedJob &job,
                                                            MonoTime now) {
-  const Accelerators shared = Reserved.shared();
-  const bool room =
-      shared.Count == 0 ||
-      (shared + job.Job.Gang).Count * MaxReservedPart <= Cells.total().Count;
-  if (!room || !withinShare(job.Job, now))
+  if (!roomToReserve(job.Job) || !withinShare(job.Job, now))
     return std::nullopt;
   if (job.Job.Repeatable)
     return cellsFor(Cells.movable(), NoMovable, job.Job);
@@ -284,4 +286,54 @@
   return cellsFor(Cells.movableSurplus(), NoMovableSurplus, job.Job);
 }
 
+bool PodScheduler::State::roomToReserve(const JobRequest &job) const {
+  const Accelerators shared = Reserved.shared();
+  return shared.Count == 0 ||
+         (shared + job.Gang).Count * MaxReservedPart <= Cells.total().Count;
+}
+
+void PodScheduler::State::reclaimShare(const QueuedJob &job, MonoTime now,
+                                       std::vector<Decision> &out) {
+  if (TriesLeft == 0 || job.Job.Gang > Cells.layout().largestServer() ||
+      Reserved.contains(job.Job.Id) || !roomToReserve(job.Job) ||
+      !withinShare(job.Job, now) ||
+      (!job.Job.Repeatable && Footprints.degraded()))
+    return;
+  --TriesLeft;
+  const AccountUse *use = mostBeyondShare(now);
+  if (!use)
+    return;
+  std::uint32_t looked = 0;
+  for (auto it = use->Runs.rbegin();
+       it != use->Runs.rend() && looked < VictimDepth; ++it, ++looked) {
+    auto region = cellsBeside(**it, job.Job);
+    if (!region)
+      continue;
+    revokeOccupants(Reserved.open(ReservationKind::Shared, job.Job,
+                                  std::move(*region), now),
+                    out);
+    return;
+  }
+}
+
+/// One server's cells of the victim and free ones there, enough for the job.
+std::optional<GangCells>
+PodScheduler::State::cellsBeside(const RunningJob &victim,
+                                 const JobRequest &job) {
+  if (victim.Revoking)
+    return std::nullopt;
+  for (const ServerCells &part : victim.Cells) {
+    if (!Cells.placeable(part.Server))
+      continue;
+    CellPool &free = job.Repeatable ? Cells.open() : Cells.surplus();
+    CellPool &movable =
+        job.Repeatable ? Cells.movable() : Cells.movableSurplus();
+    const SlotMask slots = free.availableOn(part.Server) |
+                           (part.Slots & movable.availableOn(part.Server));
+    if (slotCount(slots) >= job.Gang.Count)
+      return GangCells{{part.Server, chooseSlots(slots, job.Gang.Count)}};
+  }
+  return std::nullopt;
+}
+
 } // namespace citrongap
