policy: small jobs overtake large ones of their account, within a bound

Inside an account and class jobs went by arrival, so that in a rush small jobs waited behind large ones of their own account. Each doubling of a job's accelerator time now counts as 30 minutes of later arrival; one list per size keeps insertion and cancellation constant. The tests that ordered by arrival now say when the jobs came; the wait estimate leaves out larger jobs, which a new small one overtakes.

--- a/packages/policy/include/citrongap/policy/fair_walk.h
+++ b/packages/policy/include/citrongap/policy/fair_walk.h
@@ -31,7 +31,7 @@
   /// Where the pass stands inside one account.
   struct Cursor {
     std::size_t Class = 0;
-    FairQueue::JobList::iterator It;
+    ClassCursor Jobs;
     std::size_t PassedOver = 0;
   };
 
