--- a/testing/scenario/include/citrongap/history/checker.h
+++ b/testing/scenario/include/citrongap/history/checker.h
@@ -59,10 +59,20 @@
   std::size_t Unanswered = 0;
   /// Released tasks.
   std::size_t Runs = 0;
+  /// From the first call of a job to its first start, for jobs that started.
+  Millis StartMedian{0};
+  Millis Start99{0};
 };
 
 Counts count(const History &history);
 
+/// Rising: from the first call of a job to its first start, for the jobs of
+/// `account` that started; of all accounts when it is empty.
+std::vector<Millis> startTimes(const History &history,
+                               const ClientAccountId &account);
+/// 0 when there is none.
+Millis quantile(const std::vector<Millis> &rising, std::size_t percent);
+
 } // namespace citrongap::history
 
 #endif // CITRONGAP_HISTORY_CHECKER_H
--- a/testing/scenario/include/citrongap/scenario/scenario.h
+++ b/testing/scenario/include/citrongap/scenario/scenario.h
@@ -36,6 +36,8 @@
   Millis Run{100};
   bool Repeatable = true;
   bool Fails = false;
+  /// Once it is taken its caller never submits it again, but only queries.
+  bool OnlyQueried = false;
   /// The caller cancels it so long after asking; null for never.
   std::optional<Millis> CancelAfter;
 };
@@ -121,6 +123,13 @@
 
 enum class Measure : std::uint8_t { Done, Failed, NotRun, Unknown };
 
+/// A bound on the 99th percentile of the time to start.
+struct StartExpectation {
+  /// Empty for all jobs.
+  ClientAccountId Account;
+  Millis AtMost{0};
+};
+
 /// A bound on the share of jobs with one outcome, in percent.
 struct Expectation {
   Measure What = Measure::Done;
@@ -137,6 +146,7 @@
   std::vector<TimedAction> Actions;
   std::vector<RandomFaults> Random;
   std::vector<Expectation> Expected;
+  std::vector<StartExpectation> ExpectedStarts;
   history::Bounds Bounds;
   Millis ConvergeWithin{3000};
   /// After the last action callers may take so long to get their outcomes.
--- a/testing/scenario/src/check_history_main.cpp
+++ b/testing/scenario/src/check_history_main.cpp
@@ -55,9 +55,9 @@
     fmt::print("{} at {}: {}\n", toString(it.Broken), toMillis(it.At), it.What);
   const Counts n = count(reader.history());
   fmt::print("jobs {}, calls {}, done {}, failed {}, not run {}, unknown {}, "
-             "unanswered {}, tasks run {}\n",
+             "unanswered {}, tasks run {}, start p50 {} ms p99 {} ms\n",
              n.Jobs, n.Calls, n.Done, n.Failed, n.NotRun, n.Unknown,
-             n.Unanswered, n.Runs);
+             n.Unanswered, n.Runs, n.StartMedian.count(), n.Start99.count());
   fmt::print("{} violations, {} malformed lines\n", violations.size(),
              findings.items().size());
   return violations.empty() && findings.empty() ? 0 : ExitViolations;
--- a/testing/scenario/src/history/checker.cpp
+++ b/testing/scenario/src/history/checker.cpp
@@ -59,8 +59,36 @@
   return out;
 }
 
+std::vector<Millis> startTimes(const History &history,
+                               const ClientAccountId &account) {
+  const auto runs = history.runsByJob();
+  std::vector<Millis> out;
+  for (const auto &[job, asks] : history.asksByJob()) {
+    std::optional<MonoTime> first;
+    const auto found = runs.find(job);
+    if (found == runs.end() || (!account.empty() && job.Account != account))
+      continue;
+    for (const Run *it : found->second)
+      if (it->ReleasedAt && (!first || *it->ReleasedAt < *first))
+        first = it->ReleasedAt;
+    if (first)
+      out.push_back(*first - asks.front()->At);
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+Millis quantile(const std::vector<Millis> &rising, std::size_t percent) {
+  if (rising.empty())
+    return Millis(0);
+  return rising[(rising.size() - 1) * percent / 100];
+}
+
 Counts count(const History &history) {
   Counts out;
+  const auto starts = startTimes(history, {});
+  out.StartMedian = quantile(starts, 50);
+  out.Start99 = quantile(starts, 99);
   out.Calls = history.Asks.size();
   for (const auto &[job, asks] : history.asksByJob()) {
     ++out.Jobs;
--- a/testing/scenario/src/scenario/caller.cpp
+++ b/testing/scenario/src/scenario/caller.cpp
@@ -108,7 +108,8 @@
 void Caller::ask(Job &job) {
   const Site::Node &node = anyNode();
   const std::string ask = fmt::format("{}", NextAsk++);
-  const bool query = job.Held && Draw.between(0, 1) == 0;
+  const bool query =
+      job.Held && (job.Shape.OnlyQueried || Draw.between(0, 1) == 0);
   const auto kind = query ? CallKind::Query : CallKind::Submit;
   recordAsk(job, ask, node, kind);
   if (!listening(node.Http)) {
@@ -166,7 +167,7 @@
     return;
   Job &job = *it->second;
   const std::string outcome = standins::textField(answer, "outcome");
-  job.Held = holds(result);
+  job.Held = holds(result) || (job.Held && job.Shape.OnlyQueried);
   const auto after = retryAfter(result);
   const bool refused = outcome == "not_run" && after > 0 && !job.Canceled &&
                        job.Refusals < MaxRefusals;
@@ -218,9 +219,20 @@
   return *Clients[NextClient];
 }
 
+void Caller::setOffered(const EntryVmId &node, bool offered) {
+  if (offered)
+    Withdrawn.erase(node);
+  else
+    Withdrawn.insert(node);
+}
+
+/// Any at all when the balancer leaves all of them out.
 const Site::Node &Caller::anyNode() {
-  const auto &nodes = Where.nodes();
-  return nodes[Draw.between(0, nodes.size() - 1)];
+  std::vector<const Site::Node *> offered;
+  for (const auto &it : Where.nodes())
+    if (!Withdrawn.contains(it.Id) || Withdrawn.size() == Where.nodes().size())
+      offered.push_back(&it);
+  return *offered[Draw.between(0, offered.size() - 1)];
 }
 
 } // namespace citrongap::scenario
--- a/testing/scenario/src/scenario/caller.h
+++ b/testing/scenario/src/scenario/caller.h
@@ -24,6 +24,8 @@
 
   /// Asks for one job and goes on until it has an outcome that stays.
   void submit(const JobShape &shape);
+  /// The balancer sends no new calls to `node`, or does again.
+  void setOffered(const EntryVmId &node, bool offered);
   /// Jobs without an outcome that stays.
   std::size_t openJobs() const { return Open.size(); }
 
@@ -49,6 +51,8 @@
   Random &Draw;
   std::vector<std::unique_ptr<HttpClient>> Clients;
   std::size_t NextClient = 0;
+  /// Entry VMs that the balancer leaves out.
+  std::set<EntryVmId> Withdrawn;
   std::uint64_t NextAsk = 1;
   std::uint64_t NextKey = 1;
   std::map<JobId, std::unique_ptr<Job>> Open;
--- a/testing/scenario/src/scenario/node_run.h
+++ b/testing/scenario/src/scenario/node_run.h
@@ -19,7 +19,6 @@
   bool OwnsWholePod = false;
   /// The revision that it told last.
   Revision InForce;
-  bool Told = false;
   /// When a fault last touched it; it need not converge then.
   MonoTime ImpairedAt = MonoTime::min();
 };
--- a/testing/scenario/src/scenario/runner.cpp
+++ b/testing/scenario/src/scenario/runner.cpp
@@ -20,6 +20,8 @@
 constexpr Log LogLine{"scenario"};
 constexpr Millis ListLag{500};
 constexpr Millis StartPatience{20'000};
+/// Owners may still change while entry VMs find each other.
+constexpr Millis SteadyFor{1'000};
 constexpr Millis CallPatience{5'000};
 constexpr Millis PollInterval{100};
 constexpr Millis DrainPatience{15'000};
@@ -85,7 +87,7 @@
   Lists = std::get<Configuration>(lists);
   if (!startSite() || !publishFirst())
     return Faults;
-  if (!await(StartPatience, [this] { return allServe(); })) {
+  if (!serveSteadily()) {
     fail("the site does not serve in time");
     return Faults;
   }
@@ -175,14 +177,23 @@
 }
 
 bool Runner::allServe() const {
-  std::map<DataCentreId, bool> owned;
+  std::map<DataCentreId, int> owners;
   for (const auto &it : Nodes) {
     if (it->InForce == Revision(0))
       return false;
-    owned[it->About.Centre] = owned[it->About.Centre] || it->OwnsWholePod;
+    owners[it->About.Centre] += it->OwnsWholePod ? 1 : 0;
   }
-  return std::all_of(owned.begin(), owned.end(),
-                     [](const auto &it) { return it.second; });
+  return std::all_of(owners.begin(), owners.end(),
+                     [](const auto &it) { return it.second == 1; });
+}
+
+bool Runner::serveSteadily() {
+  MonoTime since = monoNow();
+  return await(StartPatience, [this, &since] {
+    if (!allServe())
+      since = monoNow();
+    return monoNow() - since >= SteadyFor;
+  });
 }
 
 bool Runner::await(Millis patience, const std::function<bool()> &done) {
@@ -233,9 +244,9 @@
   node.OwnsWholePod = standins::boolField(pod, "owned_here", false) &&
                       !standins::boolField(pod, "recovering", true) &&
                       standins::arrayField(pod, "unready_servers").empty();
-  if (node.Told && node.InForce == at)
+  // Revision 0 is a node that has read no lists yet.
+  if (node.InForce == at || at == Revision(0))
     return;
-  node.Told = true;
   node.InForce = at;
   History.write({{"at", toMillis(monoNow())},
                  {"who", "node"},
@@ -279,10 +290,11 @@
                      toMillis(it.At), it.What));
   const auto n = history::count(reader.history());
   fmt::print("jobs {}, calls {}, done {}, failed {}, not run {}, unknown {}, "
-             "unanswered {}, tasks run {}\n",
+             "unanswered {}, tasks run {}, start p50 {} ms p99 {} ms\n",
              n.Jobs, n.Calls, n.Done, n.Failed, n.NotRun, n.Unknown,
-             n.Unanswered, n.Runs);
+             n.Unanswered, n.Runs, n.StartMedian.count(), n.Start99.count());
   judgeExpectations(n);
+  judgeStarts(reader.history());
 }
 
 void Runner::judgeExpectations(const history::Counts &counts) {
@@ -296,6 +308,19 @@
   }
 }
 
+void Runner::judgeStarts(const history::History &history) {
+  for (const auto &it : Story.ExpectedStarts) {
+    const Millis p99 =
+        history::quantile(history::startTimes(history, it.Account), 99);
+    const std::string whose = it.Account.empty() ? "all" : it.Account.str();
+    fmt::print("start of {}: p99 {} ms\n", whose, p99.count());
+    if (p99 > it.AtMost)
+      fail(fmt::format("p99 of the time to start of {} is {} ms, expected at "
+                       "most {} ms",
+                       whose, p99.count(), it.AtMost.count()));
+  }
+}
+
 void Runner::fail(std::string what) { Faults.push_back(std::move(what)); }
 
 } // namespace citrongap::scenario
--- a/testing/scenario/src/scenario/runner.h
+++ b/testing/scenario/src/scenario/runner.h
@@ -39,7 +39,9 @@
   bool startNode(NodeRun &node);
   std::string path(const std::string &file) const;
   bool publishFirst();
+  /// Each data centre has one owner, with all its servers, and all lists.
   bool allServe() const;
+  bool serveSteadily();
   bool await(Millis patience, const std::function<bool()> &done);
   HttpResult callNow(const Endpoint &to, const HttpRequest &request);
 
@@ -62,6 +64,8 @@
   void publishOne(const Site::Node &node, Revision base, std::uint32_t weight,
                   const std::shared_ptr<int> &accepted);
   void mustConverge(Revision revision);
+  /// The balancer follows the list of VMs, as late as the list is.
+  void offerLater(const EntryVmId &node, bool offered);
   void post(const Endpoint &to, const std::string &body);
   void sendVmList();
   void sendCuts();
@@ -74,6 +78,7 @@
   void watchProcesses();
   void judge();
   void judgeExpectations(const history::Counts &counts);
+  void judgeStarts(const history::History &history);
   void fail(std::string what);
 
   EventLoop &Loop;
--- a/testing/scenario/src/scenario/runner_actions.cpp
+++ b/testing/scenario/src/scenario/runner_actions.cpp
@@ -52,6 +52,7 @@
   node->Expected = NodeState::Killed;
   node->Child->signal(SIGKILL);
   impair(it.Node);
+  offerLater(it.Node, false);
   sendVmList();
 }
 
@@ -61,6 +62,7 @@
     return;
   startNode(*node);
   impair(it.Node);
+  offerLater(it.Node, true);
   sendVmList();
 }
 
@@ -74,6 +76,7 @@
   node->Expected = NodeState::Drained;
   node->Child->signal(SIGTERM);
   impair(it.Node);
+  offerLater(it.Node, false);
   sendVmList();
 }
 
@@ -225,6 +228,10 @@
   });
 }
 
+void Runner::offerLater(const EntryVmId &node, bool offered) {
+  later(ListLag, [this, node, offered] { Callers->setOffered(node, offered); });
+}
+
 void Runner::post(const Endpoint &to, const std::string &body) {
   Http.call(to, {"POST", "/control", body, ""}, monoNow() + ControlPatience,
             [this, to](const HttpResult &result) {
--- a/testing/scenario/src/scenario/scenario_parser.cpp
+++ b/testing/scenario/src/scenario/scenario_parser.cpp
@@ -32,6 +32,8 @@
       job.CancelAfter = in.duration();
     else if (in.accept("unrepeatable"))
       job.Repeatable = false;
+    else if (in.accept("queried"))
+      job.OnlyQueried = true;
     else if (in.accept("failing"))
       job.Fails = true;
     else
@@ -191,6 +193,17 @@
   return out;
 }
 
+StartExpectation readStart(LineParser &in) {
+  StartExpectation out;
+  if (in.accept("of"))
+    out.Account = ClientAccountId(in.word());
+  in.expect("p99");
+  in.expect("at");
+  in.expect("most");
+  out.AtMost = in.duration();
+  return out;
+}
+
 RandomFaults readRandom(LineParser &in) {
   RandomFaults out;
   in.expect("faults");
@@ -219,7 +232,10 @@
   } else if (in.accept("settle")) {
     out.Settle = in.duration();
   } else if (in.accept("expect")) {
-    out.Expected.push_back(readExpectation(in));
+    if (in.accept("start"))
+      out.ExpectedStarts.push_back(readStart(in));
+    else
+      out.Expected.push_back(readExpectation(in));
   } else if (in.accept("random")) {
     out.Random.push_back(readRandom(in));
   } else {
