--- a/packages/daemon/include/citrongap/daemon/http_api.h
+++ b/packages/daemon/include/citrongap/daemon/http_api.h
@@ -46,6 +46,8 @@
   void submit(const HttpRequest &request, const HttpResponder &responder);
   void await(const JobId &job, const HttpRequest &request,
              const HttpResponder &responder);
+  /// The outcome of a key that is known, else a finding.
+  void answerExpired(const JobId &job, const HttpResponder &responder);
   void cancel(const JobId &job, const HttpResponder &responder);
   Findings check(const JobRequest &job) const;
   bool rateExceeded(const ClientAccountId &account);
--- a/packages/daemon/include/citrongap/daemon/job_messages.h
+++ b/packages/daemon/include/citrongap/daemon/job_messages.h
@@ -4,7 +4,6 @@
 
 #include "citrongap/base/ids.h"
 #include "citrongap/base/outcome.h"
-#include "citrongap/peer/member.h"
 #include "citrongap/policy/job.h"
 #include "citrongap/policy/pod_scheduler.h"
 
@@ -98,15 +97,9 @@
   template <typename Archive> void serialize(Archive &) {}
 };
 
-/// What the sender is; answered by the same of the receiver.
-struct Ping {
-  Member From;
-  template <typename Archive> void serialize(Archive &ar) { ar(From); }
-};
-
 using PeerRequest =
     std::variant<SubmitJob, QueryJob, CancelJob, EndNotice, GuardJob,
-                 HandOverPod, FetchConfiguration, Ping, PodReport>;
+                 HandOverPod, FetchConfiguration, PodReport>;
 
 /// The receiver does not own the pod.
 struct NotOwner {
@@ -123,7 +116,7 @@
 };
 
 using PeerAnswer =
-    std::variant<NotOwner, Acknowledged, JobView, ConfigurationState, Ping>;
+    std::variant<NotOwner, Acknowledged, JobView, ConfigurationState>;
 
 std::string encodeRequest(const PeerRequest &it);
 std::string encodeAnswer(const PeerAnswer &it);
--- a/packages/daemon/include/citrongap/daemon/node.h
+++ b/packages/daemon/include/citrongap/daemon/node.h
@@ -8,6 +8,7 @@
 #include "citrongap/daemon/peer_directory.h"
 #include "citrongap/daemon/settings.h"
 #include "citrongap/ledger/configuration_follower.h"
+#include "citrongap/peer/swim_membership.h"
 #include "citrongap/peer/tcp_peer_link.h"
 #include "citrongap/platform/http_ports.h"
 
@@ -59,7 +60,7 @@
   HttpVmListPort VmService;
   HttpBackendPort Backends;
   TcpPeerLink Link;
-  std::unique_ptr<Membership> Members;
+  SwimMembership Members;
   ConfigurationFollower Follower;
   LedgerClaims Claims;
   PeerDirectory Directory;
--- a/packages/daemon/include/citrongap/daemon/peer_broker.h
+++ b/packages/daemon/include/citrongap/daemon/peer_broker.h
@@ -35,12 +35,15 @@
   /// One question to all other pods.
   struct Question;
 
-  std::vector<PodCandidate> candidatesFor(const PodId &home) const;
+  std::vector<PodCandidate> candidatesFor(const PodId &home,
+                                          const JobRequest &job) const;
   void answerQuestion(const std::shared_ptr<Question> &question);
 
   EventLoop &Loop;
   PodDirectory &Directory;
   Configuration Lists;
+  /// Largest guaranteed gang of each account in each pod.
+  std::map<std::pair<PodId, ClientAccountId>, Accelerators> Guaranteed;
   std::map<PodId, PodSummary> Summaries;
   JobFront Delegates;
 };
--- a/packages/daemon/include/citrongap/daemon/peer_directory.h
+++ b/packages/daemon/include/citrongap/daemon/peer_directory.h
@@ -13,7 +13,7 @@
 
 namespace citrongap {
 
-/// The member that owns `pod` by rendezvous hashing; null when none is there.
+/// The member that owns `pod`; null when none is there.
 std::optional<Member> ownerAmong(const PodId &pod,
                                  const std::vector<Member> &members);
 
--- a/packages/daemon/src/http_api.cpp
+++ b/packages/daemon/src/http_api.cpp
@@ -43,6 +43,17 @@
   return {status, outcomeJson(job, outcome)};
 }
 
+/// Refused before anybody was asked whether the key ran: it can't be "not run",
+/// since an earlier call with the key may have started it.
+HttpResponse notLookedAt(int status, const JobId &job,
+                         const std::string &reason) {
+  return {
+      status,
+      fmt::format(
+          R"({{"account":"{}","key":"{}","outcome":"unknown","reason":"{}; this call started nothing","retry_after_ms":{}}})",
+          job.Account.str(), job.Key.str(), reason, RateRetryMs)};
+}
+
 HttpResponse stageResponse(const JobId &job, JobStage stage) {
   if (stage == JobStage::NotKnown)
     return errorResponse(
@@ -98,6 +109,8 @@
 void HttpApi::handle(const HttpRequest &request,
                      const HttpResponder &responder) {
   const std::string path = pathOf(request.Target);
+  if (Node.leaving())
+    responder.closeAfter();
   if (path == "/v1/status")
     return responder.send({200, Node.statusJson()});
   if (path == "/metrics")
@@ -105,10 +118,6 @@
         {200, Node.metricsText(), "text/plain; version=0.0.4"});
   if (path == "/v1/configuration" && request.Method == "GET")
     return responder.send({200, Node.configurationJson()});
-  if (Node.leaving())
-    return responder.send(
-        {Unavailable,
-         R"({"outcome":"not_run","reason":"this entry VM is leaving","retry_after_ms":100})"});
   if (path == "/v1/configuration" && request.Method == "POST")
     return Node.publish(request.Body, [responder](const HttpResponse &it) {
       responder.send(it);
@@ -141,15 +150,14 @@
                  fmt::format("is not a whole number from 0 to {}", MaxWaitMs));
   if (!findings.empty())
     return responder.send({BadRequest, findingsJson(findings)});
+  if (job.Deadline <= wallNow())
+    return answerExpired(job.Id, responder);
   if (rateExceeded(job.Id.Account))
     return responder.send(
-        {TooMany,
-         outcomeJson(job.Id, NotRun{"the account's request rate is exceeded",
-                                    RateRetryMs})});
+        notLookedAt(TooMany, job.Id, "the account's request rate is exceeded"));
   if (*Open >= MaxOpen)
     return responder.send(
-        {Unavailable,
-         outcomeJson(job.Id, NotRun{"too many open requests", RateRetryMs})});
+        notLookedAt(Unavailable, job.Id, "too many open requests"));
   ++*Open;
   const auto submitted = Front.submit(
       Node.homeOf(job.Id), job, monoNow() + *wait,
@@ -179,6 +187,20 @@
               });
 }
 
+void HttpApi::answerExpired(const JobId &job, const HttpResponder &responder) {
+  ++*Open;
+  Front.await(Node.homeOf(job), job, monoNow(),
+              [responder, job, open = Open](const JobFront::Answer &answer) {
+                --*open;
+                const auto *stage = std::get_if<JobStage>(&answer);
+                if (!stage || *stage != JobStage::NotKnown)
+                  return responder.send(answerResponse(job, answer));
+                Findings findings;
+                findings.add("/deadline_ms", "has passed");
+                responder.send({BadRequest, findingsJson(findings)});
+              });
+}
+
 void HttpApi::cancel(const JobId &job, const HttpResponder &responder) {
   ++*Open;
   Front.cancel(Node.homeOf(job), job, monoNow() + CancelPatience,
@@ -201,8 +223,6 @@
   if (plan && !Node.fitsSomePod(job.Gang))
     findings.add("/gang",
                  fmt::format("is {}, which no pod holds", job.Gang.Count));
-  if (job.Deadline <= wallNow())
-    findings.add("/deadline_ms", "has passed");
   return findings;
 }
 
--- a/packages/daemon/src/job_json.cpp
+++ b/packages/daemon/src/job_json.cpp
@@ -185,8 +185,9 @@
   json items = json::array();
   for (const auto &it : findings.items())
     items.push_back({{"place", it.Place}, {"message", it.Message}});
-  return dump({{"error", "the request was not accepted and did not run"},
-               {"findings", std::move(items)}});
+  return dump(
+      {{"error", "the request was not accepted; this call started nothing"},
+       {"findings", std::move(items)}});
 }
 
 std::string outcomeJson(const JobId &job, const Outcome &outcome) {
--- a/packages/daemon/src/node.cpp
+++ b/packages/daemon/src/node.cpp
@@ -3,7 +3,6 @@
 #include "citrongap/daemon/node.h"
 
 #include "citrongap/base/log.h"
-#include "ping_membership.h"
 
 #include <utility>
 
@@ -31,16 +30,16 @@
     : Loop(loop), Config(std::move(settings)), Http(loop, Config.Http.Ip),
       LogService(Http, Config.Platform),
       VmService(Http, Config.Platform, Config.DataCentre), Backends(Http),
-      Link(loop, Config.Self, Config.Peer),
-      Members(std::make_unique<PingMembership>(loop, Link,
-                                               Member{Config.Self,
-                                                      Config.DataCentre,
-                                                      Config.Peer,
-                                                      MemberState::Alive,
-                                                      0,
-                                                      {}})),
+      Link(loop, Config.Self, Config.Peer), Members(loop,
+                                                    {Config.Self,
+                                                     Config.DataCentre,
+                                                     Config.Peer,
+                                                     MemberState::Alive,
+                                                     0,
+                                                     {}},
+                                                    Random::fromDevice()),
       Follower(loop, LogService, Random::fromDevice()),
-      Claims(loop, LogService, Config.Self), Directory(loop, Link, *Members),
+      Claims(loop, LogService, Config.Self), Directory(loop, Link, Members),
       Broker(loop, Directory),
       Owner(loop, Backends, Claims, Broker, Config.Self, Config.DataCentre,
             Config.Terms,
@@ -68,17 +67,17 @@
                          const PeerResponder &respond) {
     onPeerRequest(from, body, respond);
   });
-  if (!Link.listening()) {
+  if (!Link.listening() || !Members.listening()) {
     LogLine("can't listen on {}", Config.Peer.str());
     return false;
   }
-  Members->Changed.connect(
+  Members.Changed.connect(
       [this](const Member &member) { onMemberChanged(member); });
   Follower.InForce.connect([this](const Configuration &lists, Revision at) {
     LogLine("revision {} is in force", at.value());
     Owner.configure(lists);
     Broker.configure(lists);
-    Members->setRevision(at);
+    Members.setRevision(at);
   });
   Follower.start();
   Claims.start();
@@ -112,7 +111,7 @@
     if (it.Id != Config.Self)
       Link.setAddress(it.Id, it.Address);
   }
-  Members->setListed(listed);
+  Members.setListed(listed);
   std::vector<BackendServer> own;
   for (const auto &it : list.BackendServers)
     if (it.DataCentre == Config.DataCentre)
@@ -145,7 +144,7 @@
 void Node::checkOwnership() {
   if (Leaving || !VmListKnown)
     return;
-  const auto owner = ownerAmong(Owner.pod(), Members->members());
+  const auto owner = ownerAmong(Owner.pod(), Members.members());
   const bool mine = owner && owner->Id == Config.Self;
   if (!mine) {
     AwaitHandOverUntil.reset();
@@ -181,9 +180,6 @@
   if (const auto *message = std::get_if<HandOverPod>(&request)) {
     takeHandOver(*message);
     respond(encodeAnswer(Acknowledged{}));
-  } else if (const auto *ping = std::get_if<Ping>(&request)) {
-    static_cast<PingMembership &>(*Members).onPing(ping->From);
-    respond(encodeAnswer(Ping{Members->self()}));
   } else {
     respond(encodeAnswer(ConfigurationState{Follower.exportState()}));
   }
@@ -202,7 +198,7 @@
 void Node::handOverPod() {
   if (!Owner.active())
     return;
-  const auto successor = ownerAmong(Owner.pod(), Members->members());
+  const auto successor = ownerAmong(Owner.pod(), Members.members());
   const HandOverPod message = Owner.handOver();
   if (!successor || successor->Id == Config.Self)
     return;
@@ -227,7 +223,7 @@
   if (std::exchange(Leaving, true))
     return;
   LogLine("leaving by plan");
-  Members->leave();
+  Members.leave();
   handOverPod();
   Front.onOwnersChanged();
   Broker.onOwnersChanged();
--- a/packages/daemon/src/node_status.cpp
+++ b/packages/daemon/src/node_status.cpp
@@ -108,7 +108,7 @@
            {"log_reachable", Follower.logReachable()},
            {"open_requests", Api.openRequests()},
            {"open_jobs", Front.openJobs()},
-           {"members", membersJson(Members->members())}};
+           {"members", membersJson(Members.members())}};
   out["pod"] = {{"id", Owner.pod().str()},
                 {"owner", Directory.ownerOf(Owner.pod())},
                 {"owned_here", Owner.active()}};
--- a/packages/daemon/src/peer_broker.cpp
+++ b/packages/daemon/src/peer_broker.cpp
@@ -3,6 +3,7 @@
 
 #include "citrongap/base/hash.h"
 #include "citrongap/base/log.h"
+#include "citrongap/policy/guarantee_packing.h"
 
 #include <algorithm>
 #include <utility>
@@ -32,13 +33,20 @@
 
 void PeerBroker::configure(const Configuration &configuration) {
   Lists = configuration;
+  Guaranteed.clear();
+  for (const auto &[dataCentre, shapes] : packGuarantees(Lists).Carried)
+    for (const auto &it : shapes) {
+      Accelerators &largest = Guaranteed[{PodId(dataCentre.str()), it.Account}];
+      largest = std::max(largest, it.Shape.Gang);
+    }
 }
 
 void PeerBroker::onReport(const PodReport &report) {
   Summaries[report.Pod] = report.Summary;
 }
 
-std::vector<PodCandidate> PeerBroker::candidatesFor(const PodId &home) const {
+std::vector<PodCandidate>
+PeerBroker::candidatesFor(const PodId &home, const JobRequest &job) const {
   std::vector<PodCandidate> out;
   for (const auto &[dataCentre, entry] : Lists.DataCentres) {
     PodCandidate it;
@@ -49,6 +57,8 @@
     const auto summary = Summaries.find(it.Pod);
     if (summary != Summaries.end())
       it.Summary = summary->second;
+    const auto shape = Guaranteed.find({it.Pod, job.Id.Account});
+    it.Guaranteed = shape != Guaranteed.end() && shape->second >= job.Gang;
     out.push_back(std::move(it));
   }
   return out;
@@ -61,7 +71,7 @@
   question->Job = job;
   question->Callback = std::move(callback);
   std::vector<PodId> others;
-  for (const auto &it : candidatesFor(home))
+  for (const auto &it : candidatesFor(home, job))
     if (it.Pod != home)
       others.push_back(it.Pod);
   question->Open = others.size();
@@ -87,8 +97,8 @@
     callback(question->FoundAt);
     return;
   }
-  const auto pod =
-      choosePod(question->Job, question->Home, candidatesFor(question->Home));
+  const auto pod = choosePod(question->Job, question->Home,
+                             candidatesFor(question->Home, question->Job));
   callback(pod.value_or(question->Home));
 }
 
--- a/packages/daemon/src/peer_directory.cpp
+++ b/packages/daemon/src/peer_directory.cpp
@@ -1,7 +1,7 @@
 // Calls about jobs, to whoever owns the pod now.
 #include "citrongap/daemon/peer_directory.h"
 
-#include "citrongap/base/hash.h"
+#include "citrongap/peer/ownership.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,21 +15,11 @@
 
 std::optional<Member> ownerAmong(const PodId &pod,
                                  const std::vector<Member> &members) {
-  std::vector<const Member *> candidates;
-  for (const auto &it : members) {
-    const bool counts =
-        it.State == MemberState::Alive || it.State == MemberState::Suspect;
-    if (counts && it.DataCentre.str() == pod.str())
-      candidates.push_back(&it);
-  }
-  std::vector<std::string_view> names;
-  names.reserve(candidates.size());
-  for (const auto *it : candidates)
-    names.push_back(it->Id.str());
-  const std::size_t picked = rendezvousPick(pod.str(), names);
-  if (picked == candidates.size())
+  const auto owner = ownerOf(pod, members, DataCentreId(pod.str()));
+  if (!owner)
     return std::nullopt;
-  return *candidates[picked];
+  return *std::find_if(members.begin(), members.end(),
+                       [&](const Member &it) { return it.Id == *owner; });
 }
 
 PeerDirectory::PeerDirectory(EventLoop &loop, PeerLink &link,
--- a/packages/net/include/citrongap/net/http_server.h
+++ b/packages/net/include/citrongap/net/http_server.h
@@ -31,6 +31,8 @@
   explicit HttpResponder(evhttp_request *request);
   void send(const HttpResponse &response) const;
   bool sent() const;
+  /// Has the connection closed after the answer.
+  void closeAfter() const;
 
 private:
   struct State;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -36,6 +36,12 @@
   Shared->send(response);
 }
 
+void HttpResponder::closeAfter() const {
+  if (Shared->Request)
+    evhttp_add_header(evhttp_request_get_output_headers(Shared->Request),
+                      "Connection", "close");
+}
+
 bool HttpResponder::sent() const { return Shared->Request == nullptr; }
 
 namespace {
--- a/packages/policy/include/citrongap/policy/run_time_estimator.h
+++ b/packages/policy/include/citrongap/policy/run_time_estimator.h
@@ -44,6 +44,8 @@
   /// Memory is bounded: beyond `maxKinds` the one used least recently goes.
   explicit RunTimeEstimator(std::size_t maxKinds = 2048) : MaxKinds(maxKinds) {}
 
+  /// The estimate rests on a declared or a learned time, not on a default.
+  bool informed(const JobRequest &job) const;
   void record(const ClientAccountId &account, const std::string &kind,
               std::int64_t ranMs);
   /// Milliseconds, at least 1; the declared time while nothing is known, and a
--- a/packages/policy/src/pod_state.cpp
+++ b/packages/policy/src/pod_state.cpp
@@ -49,7 +49,10 @@
   queued.Class = cls;
   queued.EstimateMs = Times.estimateMs(job, ChargeQuantile);
   queued.QueuedAt = now;
-  auto refused = refuseTooLate(job, wall, Queue.waitMs(queued));
+  // A default says nothing about the wait.
+  std::optional<NotRun> refused;
+  if (Times.informed(job))
+    refused = refuseTooLate(job, wall, Queue.waitMs(queued));
   if (!refused) {
     const PushResult result = Queue.push(std::move(queued));
     if (const auto *why = std::get_if<NotRun>(&result))
--- a/packages/policy/src/run_time_estimator.cpp
+++ b/packages/policy/src/run_time_estimator.cpp
@@ -78,6 +78,11 @@
   }
 }
 
+bool RunTimeEstimator::informed(const JobRequest &job) const {
+  return job.DeclaredRunMs > 0 ||
+         Index.contains(keyOf(job.Id.Account, job.Kind));
+}
+
 std::int64_t RunTimeEstimator::estimateMs(const JobRequest &job,
                                           double quantile) const {
   const std::int64_t declared =
--- a/packages/policy/src/run_time_estimator_test.cpp
+++ b/packages/policy/src/run_time_estimator_test.cpp
@@ -69,3 +69,15 @@
     }
   }));
 }
+
+BOOST_AUTO_TEST_CASE(a_default_is_not_an_informed_estimate) {
+  RunTimeEstimator times;
+  JobRequest job;
+  job.Id.Account = ClientAccountId("a");
+  BOOST_TEST(!times.informed(job));
+  times.record(job.Id.Account, job.Kind, 100);
+  BOOST_TEST(times.informed(job));
+  JobRequest declared;
+  declared.DeclaredRunMs = 5;
+  BOOST_TEST(times.informed(declared));
+}
