ledger: a quiet log is found reachable at once; a silent append holds up nothing

Tests quiet_log_is_found_reachable_at_once and silent_append_does_not_hold_up_the_next failed first (ledger_test), pass now.

--- a/packages/ledger/include/citrongap/ledger/record_appender.h
+++ b/packages/ledger/include/citrongap/ledger/record_appender.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -97,6 +98,8 @@
   /// Ids to send next; those that were settled meanwhile are skipped.
   std::deque<std::string> Queue;
   bool Busy = false;
+  /// Records of the append in flight that were not read back yet.
+  std::set<std::string> Flight;
   bool Reachable = false;
   /// Pending after a failed append.
   Timer Pause;
--- a/packages/ledger/src/claim_writer_test.cpp
+++ b/packages/ledger/src/claim_writer_test.cpp
@@ -264,3 +264,29 @@
   BOOST_TEST(fresh.ledger().openClaims(Pod).size() == 1U);
   BOOST_TEST((fresh.ledger().holderOf(Pod) == holding()));
 }
+
+BOOST_FIXTURE_TEST_CASE(silent_append_does_not_hold_up_the_next, Fixture) {
+  auto settings = quick();
+  settings.Appending.AppendTime = Millis(2000);
+  ClaimWriter writer(Loop, Log, EntryVmId("a"), Random(1), settings);
+  startCaughtUp(writer);
+  Log.SilentAnswers = 1;
+  const MonoTime begin = monoNow();
+  writer.claim(request("first"), soon(4000), keep());
+  BOOST_REQUIRE(answered(1));
+  writer.claim(request("second"), soon(4000), keep());
+  BOOST_REQUIRE(answered(2));
+  result<ClaimWon>(1);
+  BOOST_CHECK(monoNow() - begin < Millis(1000));
+}
+
+BOOST_FIXTURE_TEST_CASE(quiet_log_is_found_reachable_at_once, Fixture) {
+  auto settings = quick();
+  settings.Reading.LongPoll = Millis(2000);
+  MockLog empty(Loop);
+  ClaimWriter writer(Loop, empty, EntryVmId("a"), Random(1), settings);
+  const MonoTime begin = monoNow();
+  startCaughtUp(writer);
+  BOOST_TEST(writer.logReachable());
+  BOOST_CHECK(monoNow() - begin < Millis(1000));
+}
--- a/packages/ledger/src/log_reader.cpp
+++ b/packages/ledger/src/log_reader.cpp
@@ -28,9 +28,10 @@
   InFlight = true;
   Hurried = false;
   LastStart = monoNow();
-  const MonoTime deadline =
-      LastStart + Settings.LongPoll + Settings.AnswerMargin;
-  Port.read(Stream, Position(), Settings.LongPoll, deadline,
+  // Until the log is known to answer, nobody waits for its next record.
+  const Millis wait = Reachable ? Settings.LongPoll : Millis(0);
+  const MonoTime deadline = LastStart + wait + Settings.AnswerMargin;
+  Port.read(Stream, Position(), wait, deadline,
             [this, alive = std::weak_ptr<int>(Alive)](
                 const PortResult<LogPage> &result) {
               if (!alive.expired())
--- a/packages/ledger/src/mock_log.h
+++ b/packages/ledger/src/mock_log.h
@@ -23,6 +23,8 @@
   bool Hidden = false;
   /// The next appends take effect but their answers are lost.
   int LoseAnswers = 0;
+  /// The next appends take effect and are not answered before their deadline.
+  int SilentAnswers = 0;
   /// The next appends are unanswered and held until land().
   int HoldAppends = 0;
   /// Calls so far.
@@ -32,8 +34,8 @@
   LogOffset First;
   LogOffset End;
 
-  void append(const std::string &, std::vector<std::string> bodies, MonoTime,
-              PortCallback<LogOffset> callback) override {
+  void append(const std::string &, std::vector<std::string> bodies,
+              MonoTime deadline, PortCallback<LogOffset> callback) override {
     ++Appends;
     if (Outage)
       return answer(callback, NoAnswer{"outage"});
@@ -46,6 +48,12 @@
     store(bodies);
     if (Hidden)
       return answer(callback, NoAnswer{"hidden"});
+    if (SilentAnswers > 0) {
+      --SilentAnswers;
+      Answers.push_back(
+          Loop.at(deadline, [callback] { callback(NoAnswer{"silent"}); }));
+      return;
+    }
     if (LoseAnswers > 0) {
       --LoseAnswers;
       return answer(callback, NoAnswer{"lost"});
--- a/packages/ledger/src/record_appender.cpp
+++ b/packages/ledger/src/record_appender.cpp
@@ -73,11 +73,12 @@
   if (bodies.empty())
     return;
   Busy = true;
-  ++Appends;
+  Flight = {ids.begin(), ids.end()};
+  const std::uint64_t flight = ++Appends;
   Port.append(Stream, std::move(bodies), monoNow() + Settings.AppendTime,
-              [this, ids, alive = std::weak_ptr<int>(Alive)](
+              [this, ids, flight, alive = std::weak_ptr<int>(Alive)](
                   const PortResult<LogOffset> &result) {
-                if (!alive.expired())
+                if (!alive.expired() && Busy && flight == Appends)
                   onAnswer(ids, result);
               });
 }
@@ -112,7 +113,13 @@
 }
 
 void RecordAppender::onRead(const std::string &id, bool effective) {
+  // An append whose records were all read back has no answer to wait for.
+  const bool landed = Flight.erase(id) > 0 && Flight.empty();
   settle(id, RecordRead{effective});
+  if (!landed || !Busy)
+    return;
+  Busy = false;
+  flush();
 }
 
 void RecordAppender::expire(const std::string &id) {
