An owner knows whether a job is fresh: 'not run' in an outage only when nobody had it before

Submissions say whether another owner may have the job; then a claim that can't be made waits, and 'not run' needs the log's confirmation. Test a_handed_over_job_is_not_called_not_run_before_ the_log_agrees.

--- a/packages/daemon/include/citrongap/daemon/claim_port.h
+++ b/packages/daemon/include/citrongap/daemon/claim_port.h
@@ -40,6 +40,16 @@
   Unclear
 };
 
+/// What the owner knows when it asks for a claim.
+struct ClaimCircumstances {
+  /// Every server of the pod obeys this holder and none knows the job, so that
+  /// nothing of an earlier holder can start any more.
+  bool Fenced = false;
+  /// No other owner ever had the job: when nothing reached the log either, it
+  /// has not run.
+  bool Fresh = false;
+};
+
 using ClaimAnswer = std::variant<ClaimGranted, ClaimDenied, ClaimDeferred>;
 
 class ClaimPort {
@@ -50,11 +60,9 @@
   virtual void takeOver(const PodId &pod) = 0;
   virtual void letGo() = 0;
 
-  /// Claims an unrepeatable job right before its start. `fenced` says that
-  /// every server of the pod obeys this holder and none knows the job, so that
-  /// nothing of an earlier holder can start any more. Every callback of this
+  /// Claims an unrepeatable job right before its start. Every callback of this
   /// port comes once, possibly before returning.
-  virtual void claim(const JobRequest &job, bool fenced,
+  virtual void claim(const JobRequest &job, ClaimCircumstances circumstances,
                      std::function<void(const ClaimAnswer &)> callback) = 0;
   /// Gives a claim back under which nothing ran; false when that can't be
   /// confirmed.
--- a/packages/daemon/include/citrongap/daemon/job_messages.h
+++ b/packages/daemon/include/citrongap/daemon/job_messages.h
@@ -36,8 +36,10 @@
   JobRequest Job;
   /// The key's home chose this pod; it is not to be passed on again.
   bool Delegated = false;
+  /// Another owner may have it already.
+  bool Again = false;
   template <typename Archive> void serialize(Archive &ar) {
-    ar(Pod, Job, Delegated);
+    ar(Pod, Job, Delegated, Again);
   }
 };
 
--- a/packages/daemon/include/citrongap/daemon/ledger_claims.h
+++ b/packages/daemon/include/citrongap/daemon/ledger_claims.h
@@ -18,7 +18,7 @@
 
   void takeOver(const PodId &pod) override;
   void letGo() override;
-  void claim(const JobRequest &job, bool fenced,
+  void claim(const JobRequest &job, ClaimCircumstances circumstances,
              std::function<void(const ClaimAnswer &)> callback) override;
   void release(const JobRequest &job, const std::string &claim,
                std::function<void(bool)> callback) override;
@@ -34,7 +34,7 @@
 private:
   void write(JobEnded record, std::function<void(Recorded)> callback);
   void askForPod();
-  void claimAnew(const JobRequest &job, bool fenced,
+  void claimAnew(const JobRequest &job, ClaimCircumstances circumstances,
                  const std::function<void(const ClaimAnswer &)> &callback);
   void onLost(const JobRequest &job, const JobEntry &by, bool fenced,
               const std::function<void(const ClaimAnswer &)> &callback);
--- a/packages/daemon/include/citrongap/daemon/pod_owner.h
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -27,6 +27,16 @@
     std::function<void(const EntryVmId &front, const EndNotice &message,
                        std::function<void(bool)>)>;
 
+/// Where a job comes from.
+struct JobOrigin {
+  /// Null for a job that was handed over or that the log owes.
+  std::optional<EntryVmId> Front;
+  /// The key's home chose this pod.
+  bool Delegated = false;
+  /// Another owner may have it already.
+  bool Again = false;
+};
+
 class PodOwner {
 public:
   PodOwner(EventLoop &loop, BackendPort &port, ClaimPort &claims,
@@ -52,8 +62,8 @@
 
   /// Takes a job for `front`; a delegated one runs in this pod. Calls back once
   /// the log has the job, can't be reached, or the job has ended.
-  void submit(const JobRequest &job, const std::optional<EntryVmId> &front,
-              bool delegated, ViewCallback callback);
+  void submit(const JobRequest &job, const JobOrigin &origin,
+              ViewCallback callback);
   JobView view(const JobId &job) const;
   /// Cancels; the outcome says which won. Calls back when it is known.
   void cancel(const JobId &job, ViewCallback callback);
@@ -77,6 +87,8 @@
     std::uint32_t Attempts = 0;
     /// Chosen for this pod by the key's home; not passed on again.
     bool Delegated = false;
+    /// No other owner ever had it.
+    bool Fresh = true;
     /// The pod that queues or runs it; empty until it was chosen.
     PodId At;
     bool CancelAsked = false;
--- a/packages/daemon/src/job_front.cpp
+++ b/packages/daemon/src/job_front.cpp
@@ -62,6 +62,7 @@
   it->second.Pod = message.Pod;
   it->second.Job = message.Job;
   it->second.Guarded = true;
+  it->second.MaybeSubmitted = true;
   submitToOwner(message.Job.Id);
 }
 
@@ -163,8 +164,10 @@
   }
   job.InFlight = true;
   job.Owner = Directory.ownerOf(job.Pod);
+  const bool again = job.MaybeSubmitted;
   job.MaybeSubmitted = job.MaybeSubmitted || !job.Owner.empty();
-  Directory.submit({job.Pod, job.Job, Delegates}, monoNow() + OwnerPatience,
+  Directory.submit({job.Pod, job.Job, Delegates, again},
+                   monoNow() + OwnerPatience,
                    [this, id, alive = std::weak_ptr<int>(Alive)](
                        const std::optional<JobView> &view) {
                      if (!alive.expired())
--- a/packages/daemon/src/ledger_claims.cpp
+++ b/packages/daemon/src/ledger_claims.cpp
@@ -70,17 +70,18 @@
       });
 }
 
-void LedgerClaims::claim(const JobRequest &job, bool fenced,
+void LedgerClaims::claim(const JobRequest &job,
+                         ClaimCircumstances circumstances,
                          std::function<void(const ClaimAnswer &)> callback) {
   if (const auto known = outcomeOf(job.Id)) {
     callback(ClaimDenied{*known});
     return;
   }
   if (Held) {
-    claimAnew(job, fenced, callback);
+    claimAnew(job, circumstances, callback);
     return;
   }
-  if (names(job) || Writer.logReachable())
+  if (!circumstances.Fresh || names(job) || Writer.logReachable())
     callback(ClaimDeferred{"the log does not name this holder yet"});
   else
     callback(ClaimDenied{NotRun{
@@ -89,13 +90,13 @@
 }
 
 void LedgerClaims::claimAnew(
-    const JobRequest &job, bool fenced,
+    const JobRequest &job, ClaimCircumstances circumstances,
     const std::function<void(const ClaimAnswer &)> &callback) {
   const WallTime startBy = std::min(job.Deadline, wallNow() + StartWithin);
-  const bool named = names(job);
+  const bool fresh = circumstances.Fresh && !names(job);
   Writer.claim(
       {job.Id, Pod, *Held, startBy, job.Deadline}, monoNow() + ClaimPatience,
-      [this, job, fenced, startBy, named, callback,
+      [this, job, circumstances, startBy, fresh, callback,
        epoch = std::weak_ptr<int>(Epoch)](const ClaimResult &result) {
         if (epoch.expired()) {
           callback(ClaimDeferred{"the pod has another owner"});
@@ -107,13 +108,13 @@
                   callback(ClaimGranted{it.Claim.str(), startBy});
                 },
                 [&](const ClaimLost &it) {
-                  onLost(job, it.By, fenced, callback);
+                  onLost(job, it.By, circumstances.Fenced, callback);
                 },
                 [&](const ClaimNotMade &it) {
-                  if (named)
-                    callback(ClaimDeferred{it.Reason});
-                  else
+                  if (fresh)
                     callback(ClaimDenied{NotRun{it.Reason, RetryWhenAway}});
+                  else
+                    callback(ClaimDeferred{it.Reason});
                 },
                 [&](const ClaimUncertain &it) {
                   callback(ClaimDeferred{it.Reason});
--- a/packages/daemon/src/node.cpp
+++ b/packages/daemon/src/node.cpp
@@ -190,7 +190,7 @@
     return;
   Owner.activate({message.Leases.begin(), message.Leases.end()});
   for (const auto &it : message.Jobs)
-    Owner.submit(it, std::nullopt, false, [](const JobView &) {});
+    Owner.submit(it, {std::nullopt, false, true}, [](const JobView &) {});
   Front.onOwnersChanged();
   Broker.onOwnersChanged();
 }
--- a/packages/daemon/src/peer_directory.cpp
+++ b/packages/daemon/src/peer_directory.cpp
@@ -72,7 +72,8 @@
                            ViewCallback callback) {
   if (!ownedHere(message.Pod))
     return ask(message.Pod, message, deadline, std::move(callback));
-  Owner->submit(message.Job, Members.self().Id, message.Delegated,
+  Owner->submit(message.Job,
+                {Members.self().Id, message.Delegated, message.Again},
                 [this, callback = std::move(callback)](const JobView &view) {
                   later([callback, view] { callback(view); });
                 });
@@ -164,7 +165,7 @@
   return std::visit(
       Overloaded{[&](const SubmitJob &it) {
                    if (owned(it.Pod))
-                     Owner->submit(it.Job, from, it.Delegated,
+                     Owner->submit(it.Job, {from, it.Delegated, it.Again},
                                    [respond](const JobView &view) {
                                      respond(encodeAnswer(view));
                                    });
--- a/packages/daemon/src/pod_owner_ends.cpp
+++ b/packages/daemon/src/pod_owner_ends.cpp
@@ -103,7 +103,7 @@
 
 bool PodOwner::inLog(const OwnedJob &owned) const {
   const bool accepted = owned.Accepted && *owned.Accepted != Recorded::No;
-  return accepted || owned.Claim;
+  return accepted || owned.Claim || !owned.Fresh;
 }
 
 void PodOwner::recordEnd(const JobId &id) {
--- a/packages/daemon/src/pod_owner_jobs.cpp
+++ b/packages/daemon/src/pod_owner_jobs.cpp
@@ -28,17 +28,17 @@
   return open ? &it->second : nullptr;
 }
 
-void PodOwner::submit(const JobRequest &job,
-                      const std::optional<EntryVmId> &front, bool delegated,
+void PodOwner::submit(const JobRequest &job, const JobOrigin &origin,
                       ViewCallback callback) {
   forgetRefusal(job);
   const bool known = Jobs.contains(job.Id);
   OwnedJob &owned = knownJob(job);
   owned.Submissions.insert(job.Submission);
-  if (front && !owned.Ended)
-    owned.Fronts.insert(*front);
+  if (origin.Front && !owned.Ended)
+    owned.Fronts.insert(*origin.Front);
+  owned.Fresh = owned.Fresh && !origin.Again;
   if (!known) {
-    owned.Delegated = delegated;
+    owned.Delegated = origin.Delegated;
     if (Recovering)
       Deferred.push_back(job.Id);
     else
@@ -149,7 +149,7 @@
     if (!ours)
       continue;
     LogLine("{} is owed an outcome by the log", job.Id.str());
-    submit(job, std::nullopt, false, [](const JobView &) {});
+    submit(job, {std::nullopt, false, true}, [](const JobView &) {});
   }
 }
 
@@ -166,7 +166,7 @@
     return;
   }
   owned->Claiming = true;
-  Claims.claim(owned->Job, fenced(),
+  Claims.claim(owned->Job, {fenced(), owned->Fresh},
                [this, id = owned->Job.Id, where = decision.Where,
                 epoch = std::weak_ptr<int>(Epoch)](const ClaimAnswer &answer) {
                  if (!epoch.expired())
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -35,7 +35,7 @@
 public:
   void takeOver(const PodId &) override {}
   void letGo() override {}
-  void claim(const JobRequest &, bool,
+  void claim(const JobRequest &, ClaimCircumstances,
              std::function<void(const ClaimAnswer &)> callback) override {
     callback(Next);
   }
@@ -157,7 +157,7 @@
 BOOST_AUTO_TEST_CASE(a_gang_runs_whole_and_its_front_gets_all_results) {
   Fixture site;
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   const auto result = nlohmann::json::parse(
       std::get<Done>(site.Ended.at(job.Id)).Result, nullptr, false);
@@ -172,10 +172,10 @@
 BOOST_AUTO_TEST_CASE(a_job_submitted_twice_runs_once) {
   Fixture site;
   const auto job = Fixture::job("k", 1);
-  site.Owner->submit(job, FrontA, false, ignore);
-  site.Owner->submit(job, FrontB, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
+  site.Owner->submit(job, {FrontB, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   site.Loop.runUntil(monoNow() + Millis(400));
   BOOST_TEST(site.Servers.releases(job.Id) == 1U);
 }
@@ -184,7 +184,7 @@
   Fixture site;
   const auto job = Fixture::job("k", 8, false);
   site.Servers.loseReleaseAnswers(1);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_CHECK(site.endedAs<Done>(job));
   BOOST_TEST(site.Servers.releases(job.Id) == 1U);
@@ -194,14 +194,14 @@
   Fixture site;
   site.Servers.setRun(Millis(1200));
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
   site.Owner->deactivate();
   auto successor = site.makeOwner("owner-2");
   successor->configure(Fixture::lists());
   successor->setServers(site.Servers.list());
   successor->activate({});
-  successor->submit(job, FrontA, false, ignore);
+  successor->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_CHECK(site.endedAs<Done>(job));
   BOOST_TEST(site.Servers.releases(job.Id) == 2U);
@@ -211,7 +211,7 @@
   Fixture site;
   site.Servers.setRun(Millis(300));
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
   const HandOverPod message = site.Owner->handOver();
   BOOST_TEST(message.Leases.size() == 4U);
@@ -221,7 +221,7 @@
   successor->setServers(site.Servers.list());
   const MonoTime begin = monoNow();
   successor->activate({message.Leases.begin(), message.Leases.end()});
-  successor->submit(job, FrontA, false, ignore);
+  successor->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return !successor->recovering(); }));
   BOOST_CHECK(monoNow() - begin < shortTerms().LeaseTerm);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
@@ -233,7 +233,7 @@
   Fixture site(2);
   site.Servers.setRun(Millis(60000));
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
   site.Servers.setSilent(BackendServerId("s1"), true);
   const PodTerms terms = shortTerms();
@@ -247,10 +247,10 @@
   site.Servers.setRun(Millis(400));
   const auto first = Fixture::job("first", 8);
   const auto second = Fixture::job("second", 8);
-  site.Owner->submit(first, FrontA, false, ignore);
+  site.Owner->submit(first, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(
       site.until([&] { return site.Servers.running(first.Id) == 1; }));
-  site.Owner->submit(second, FrontA, false, ignore);
+  site.Owner->submit(second, {FrontA, false, false}, ignore);
   JobView view;
   site.Owner->cancel(second.Id, [&](const JobView &it) { view = it; });
   BOOST_REQUIRE(
@@ -264,7 +264,7 @@
   Fixture site;
   site.Servers.setRun(Millis(60000));
   const auto job = Fixture::job("k", 16);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
   site.Owner->cancel(job.Id, [](const JobView &) {});
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
@@ -276,7 +276,7 @@
   Fixture site;
   site.Claims.Next = ClaimDenied{NotRun{"the log is away", 1000}};
   const auto job = Fixture::job("k", 1, false);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_CHECK(site.endedAs<NotRun>(job));
   BOOST_TEST(site.Servers.releases(job.Id) == 0U);
@@ -287,11 +287,11 @@
   site.Servers.setRun(Millis(1000));
   const auto first = Fixture::job("first", 8);
   const auto second = Fixture::job("second", 8);
-  site.Owner->submit(first, FrontA, false, ignore);
+  site.Owner->submit(first, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(
       site.until([&] { return site.Servers.running(first.Id) == 1; }));
-  site.Owner->submit(second, FrontA, false, ignore);
-  site.Owner->submit(second, FrontB, false, ignore);
+  site.Owner->submit(second, {FrontA, false, false}, ignore);
+  site.Owner->submit(second, {FrontB, false, false}, ignore);
   site.Owner->cancel(second.Id, [](const JobView &) {});
   BOOST_REQUIRE(site.until([&] { return site.ended(second); }));
   BOOST_REQUIRE(site.Messages.size() == 4U);
@@ -308,8 +308,8 @@
   site.Owner->setServers(list);
   BOOST_REQUIRE(site.until([&] { return !site.Owner->recovering(); }));
   for (int i = 0; i < 10; ++i)
-    site.Owner->submit(Fixture::job("k" + std::to_string(i), 1), FrontA, false,
-                       ignore);
+    site.Owner->submit(Fixture::job("k" + std::to_string(i), 1),
+                       {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.Ended.size() == 10; }));
   for (const auto &[id, outcome] : site.Ended)
     BOOST_TEST(reasonOf(outcome) == "");
@@ -321,7 +321,7 @@
   Fixture site;
   site.Broker.Elsewhere = PodId("other");
   const auto job = Fixture::job("k", 1);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return bool(site.Broker.Delegated); }));
   BOOST_CHECK(site.Owner->view(job.Id).At == PodId("other"));
   site.Broker.Delegated(Done{"x"});
@@ -334,7 +334,7 @@
   Fixture site;
   site.Broker.Elsewhere = PodId("other");
   const auto job = Fixture::job("k", 1);
-  site.Owner->submit(job, FrontA, true, ignore);
+  site.Owner->submit(job, {FrontA, true, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_TEST(site.Servers.releases(job.Id) == 1U);
 }
@@ -344,7 +344,7 @@
   const ClaimAnswer granted = site.Claims.Next;
   site.Claims.Next = ClaimDeferred{"the log is slow"};
   const auto job = Fixture::job("k", 1, false);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   site.Loop.runUntil(monoNow() + Millis(700));
   BOOST_TEST(site.Servers.releases(job.Id) == 0U);
   site.Claims.Next = granted;
@@ -358,11 +358,11 @@
   site.Servers.setRun(Millis(60000));
   const auto first = Fixture::job("first", 8);
   const auto second = Fixture::job("second", 8);
-  site.Owner->submit(first, FrontA, false, ignore);
+  site.Owner->submit(first, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(
       site.until([&] { return site.Servers.running(first.Id) == 1; }));
   site.Claims.Log = Recorded::Unclear;
-  site.Owner->submit(second, FrontA, false, ignore);
+  site.Owner->submit(second, {FrontA, false, false}, ignore);
   site.Owner->cancel(second.Id, ignore);
   BOOST_REQUIRE(site.until([&] { return site.ended(second); }));
   BOOST_CHECK(site.endedAs<Unknown>(second));
@@ -380,7 +380,7 @@
   site.Servers.setRun(Millis(400));
   site.Servers.tellPreparedLate(true);
   const auto job = Fixture::job("k", 1, false);
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_CHECK(site.endedAs<Done>(job));
 }
@@ -391,14 +391,25 @@
   site.Claims.Next = ClaimDenied{NotRun{"the log is away", 1000}};
   auto job = Fixture::job("k", 1, false);
   job.Submission = "first";
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.endedAs<NotRun>(job); }));
   site.Claims.Next = granted;
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   site.Loop.runUntil(monoNow() + Millis(300));
   BOOST_TEST(site.Servers.releases(job.Id) == 0U);
   job.Submission = "second";
-  site.Owner->submit(job, FrontA, false, ignore);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.endedAs<Done>(job); }));
   BOOST_TEST(site.Servers.releases(job.Id) == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(
+    a_handed_over_job_is_not_called_not_run_before_the_log_agrees) {
+  Fixture site;
+  site.Claims.Next = ClaimDenied{NotRun{"the log is away", 1000}};
+  site.Claims.Log = Recorded::No;
+  const auto job = Fixture::job("k", 1, false);
+  site.Owner->submit(job, {FrontA, false, true}, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<Unknown>(job));
+}
