--- a/packages/policy/include/citrongap/policy/guarantee_packing.h
+++ b/packages/policy/include/citrongap/policy/guarantee_packing.h
@@ -35,6 +35,10 @@
 /// few shapes of others.
 GuaranteePacking packGuarantees(const Configuration &configuration);
 
+/// True when both have the same packing because they have the same accounts,
+/// capacity and guaranteed shapes; far cheaper than packing.
+bool sameGuarantees(const Configuration &lhs, const Configuration &rhs);
+
 } // namespace citrongap
 
 #endif // CITRONGAP_POLICY_GUARANTEE_PACKING_H
--- a/packages/policy/src/guarantee_packing.cpp
+++ b/packages/policy/src/guarantee_packing.cpp
@@ -142,4 +142,13 @@
   return out;
 }
 
+bool sameGuarantees(const Configuration &lhs, const Configuration &rhs) {
+  return lhs.Accounts == rhs.Accounts && lhs.DataCentres == rhs.DataCentres &&
+         std::equal(lhs.Plans.begin(), lhs.Plans.end(), rhs.Plans.begin(),
+                    rhs.Plans.end(), [](const auto &left, const auto &right) {
+                      return left.first == right.first &&
+                             left.second.Guaranteed == right.second.Guaranteed;
+                    });
+}
+
 } // namespace citrongap
--- a/packages/policy/src/pod_state.cpp
+++ b/packages/policy/src/pod_state.cpp
@@ -27,6 +27,7 @@
       refuse(job, {"the account has no plan", 0});
     Urgency.removeAccount(id);
   }
+  const bool sameShapes = sameGuarantees(Lists, lists);
   Lists = lists;
   for (const auto &[id, entry] : Lists.Accounts) {
     const PlanEntry *plan = Lists.planOf(id);
@@ -35,7 +36,8 @@
     Queue.setAccount(id, {plan->Weight, plan->MaxQueued});
     Urgency.setAccount(id, plan->UrgentPerHour, now);
   }
-  Footprints.configure(packGuarantees(Lists).Carried[DataCentre]);
+  if (!sameShapes)
+    Footprints.configure(packGuarantees(Lists).Carried[DataCentre]);
   Changed = true;
 }
 
--- a/testing/bench/decision_time.cpp
+++ b/testing/bench/decision_time.cpp
@@ -2,6 +2,7 @@
 // the number of servers, in a pod that is full and has jobs of every account
 // waiting. Prints one line for each size and the slopes between sizes.
 #include "citrongap/base/random.h"
+#include "citrongap/policy/guarantee_packing.h"
 #include "citrongap/policy/pod_scheduler.h"
 
 #include <algorithm>
@@ -162,6 +163,30 @@
   std::uint32_t Failed = Servers;
 };
 
+/// Milliseconds to check that the guarantees of 710 accounts pack on 15 data
+/// centres with 51,120 accelerators: the price of accepting a configuration.
+double packingMillis() {
+  Configuration lists;
+  for (std::uint32_t i = 0; i < 15; ++i) {
+    const DataCentreId id("dc-" + std::to_string(i));
+    lists.DataCentres[id] = {id, 71, ServersPerRack, {PerServer}};
+  }
+  PlanEntry plan;
+  plan.Plan = PlanId("plan");
+  plan.Guaranteed = {{{8}, 4}, {{4}, 4}, {{1}, 8}};
+  lists.Plans[plan.Plan] = plan;
+  for (std::uint32_t i = 0; i < 710; ++i) {
+    const ClientAccountId id("account-" + std::to_string(i));
+    lists.Accounts[id] = {id, plan.Plan};
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  const bool packs = packGuarantees(lists).Unpacked.empty();
+  const auto end = std::chrono::steady_clock::now();
+  if (!packs)
+    fmt::print("the guarantees do not pack\n");
+  return std::chrono::duration<double, std::milli>(end - begin).count();
+}
+
 } // namespace
 
 int main() {
@@ -181,5 +206,7 @@
   fmt::print("growth exponent from 48 to 1900 servers: p50 {:.2f}, p99 {:.2f} "
              "(1 is linear)\n",
              slope(&Sample::Median, 2), slope(&Sample::P99, 2));
+  fmt::print("packing 710 accounts on 15 data centres: {:.1f} ms\n",
+             packingMillis());
   return 0;
 }
