--- a/packages/policy/include/citrongap/policy/reservation.h
+++ b/packages/policy/include/citrongap/policy/reservation.h
@@ -31,7 +31,7 @@
 };
 
 inline constexpr ReservationTerms UrgentTerms{Millis(0), Millis(0)};
-inline constexpr ReservationTerms StandardTerms{Seconds(300), Seconds(6900)};
+inline constexpr ReservationTerms StandardTerms{Seconds(300), Seconds(14100)};
 inline constexpr ReservationTerms BackgroundTerms{Seconds(1800),
                                                   Seconds(10800)};
 
