--- a/packages/policy/include/citrongap/policy/fair_queue.h
+++ b/packages/policy/include/citrongap/policy/fair_queue.h
@@ -12,10 +12,11 @@
 #define CITRONGAP_POLICY_FAIR_QUEUE_H
 
 #include "citrongap/base/outcome.h"
-#include "citrongap/policy/class_queue.h"
+#include "citrongap/policy/job.h"
 
 #include <array>
 #include <cstdint>
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -32,6 +33,21 @@
   std::uint32_t MaxQueued = 1000;
 };
 
+struct QueuedJob {
+  JobRequest Job;
+  /// After the urgency budget; decides the order inside the account.
+  ServiceClass Class = ServiceClass::Standard;
+  /// What a start is charged with, in milliseconds of the whole gang.
+  std::int64_t EstimateMs = 1;
+  MonoTime QueuedAt;
+  /// No start before it (backoff of a retry).
+  MonoTime NotBefore;
+  /// It was started before; "not run" would be false of it.
+  bool MayHaveRun = false;
+  /// Position of arrival in this queue.
+  std::uint64_t Sequence = 0;
+};
+
 struct Queued {};
 /// The new job was queued in place of a less valued one of the same account.
 struct Displaced {
@@ -85,10 +101,10 @@
   /// Accelerator-milliseconds charged per weight; never negative.
   double tagOf(const ClientAccountId &account) const;
 
-  /// Milliseconds until this new job would start if its account got just its
-  /// share among the accounts that wait now. It leaves out the work that runs
-  /// already and what is larger, so that it errs on the early side.
-  std::int64_t waitMs(const QueuedJob &job) const;
+  /// Milliseconds until a new job of this class would start if the account got
+  /// just its share among the accounts that wait now. It leaves out the work
+  /// that already runs, so that it errs on the early side.
+  std::int64_t waitMs(const ClientAccountId &account, ServiceClass cls) const;
 
 private:
   friend class FairWalk;
@@ -97,12 +113,16 @@
   /// Urgent work within its budget goes before all other.
   enum Band : std::size_t { UrgentBand, RestBand, Bands };
 
+  using JobList = std::list<QueuedJob>;
+
   struct Account {
     ClientAccountId Id;
     FairShare Share;
     /// Invariant: never negative.
     double Tag = 0;
-    std::array<ClassQueue, Classes> Waiting;
+    std::array<JobList, Classes> Waiting;
+    /// Accelerator-milliseconds of each list.
+    std::array<std::int64_t, Classes> Work{};
     std::uint32_t Length = 0;
 
     bool hasWork(Band band) const;
@@ -121,7 +141,7 @@
 
   struct Place {
     Account *Who;
-    ClassQueue::Iterator It;
+    JobList::iterator It;
   };
 
   /// A start that is charged and not yet corrected.
--- a/packages/policy/include/citrongap/policy/fair_walk.h
+++ b/packages/policy/include/citrongap/policy/fair_walk.h
@@ -31,7 +31,7 @@
   /// Where the pass stands inside one account.
   struct Cursor {
     std::size_t Class = 0;
-    ClassCursor Jobs;
+    FairQueue::JobList::iterator It;
     std::size_t PassedOver = 0;
   };
 
--- a/packages/policy/src/fair_queue.cpp
+++ b/packages/policy/src/fair_queue.cpp
@@ -14,6 +14,10 @@
 
 std::size_t indexOf(ServiceClass cls) { return static_cast<std::size_t>(cls); }
 
+std::int64_t workOf(const QueuedJob &job) {
+  return job.EstimateMs * job.Job.Gang.Count;
+}
+
 } // namespace
 
 bool FairQueue::Account::hasWork(Band band) const {
@@ -37,8 +41,8 @@
   if (it == Accounts.end())
     return jobs;
   for (auto &list : it->second.Waiting)
-    while (const QueuedJob *job = ClassCursor(list).next())
-      jobs.push_back(take(Index.find(job->Job.Id)));
+    while (!list.empty())
+      jobs.push_back(take(Index.find(list.front().Job.Id)));
   Accounts.erase(it);
   ++Changes;
   return jobs;
@@ -71,13 +75,15 @@
     account.Tag = std::max(account.Tag, VirtualTime);
     WaitingWeight += account.Share.Weight;
   }
-  ClassQueue &list = account.Waiting[cls];
+  JobList &list = account.Waiting[cls];
   job.EstimateMs = std::max<std::int64_t>(job.EstimateMs, 1);
   job.Sequence = NextSequence++;
   Expiries.push_back({job.Job.Deadline, job.Sequence, job.Job.Id});
   std::push_heap(Expiries.begin(), Expiries.end());
+  account.Work[cls] += workOf(job);
   ++account.Length;
-  const auto it = list.insert(std::move(job), front);
+  const auto it =
+      list.insert(front ? list.begin() : list.end(), std::move(job));
   Index[it->Job.Id] = {&account, it};
   if (list.size() == 1)
     link(account);
@@ -87,13 +93,16 @@
 QueuedJob FairQueue::take(std::unordered_map<JobId, Place>::iterator it) {
   Account &account = *it->second.Who;
   const auto place = it->second.It;
-  ClassQueue &list = account.Waiting[indexOf(place->Class)];
+  const std::size_t cls = indexOf(place->Class);
+  JobList &list = account.Waiting[cls];
   Index.erase(it);
+  QueuedJob job = std::move(*place);
+  account.Work[cls] -= workOf(job);
   --account.Length;
   const bool last = list.size() == 1;
   if (last)
     unlink(account);
-  QueuedJob job = list.take(place);
+  list.erase(place);
   if (last)
     link(account);
   if (account.Length == 0)
@@ -104,9 +113,12 @@
 
 const QueuedJob *FairQueue::leastValued(const Account &account,
                                         ServiceClass cls) const {
-  for (std::size_t i = Classes; i-- > indexOf(cls) + 1;)
-    if (const QueuedJob *job = account.Waiting[i].latestNew())
-      return job;
+  for (std::size_t i = Classes; i-- > indexOf(cls) + 1;) {
+    // Requeued jobs stand in front, so the last one ran only if all did.
+    const JobList &list = account.Waiting[i];
+    if (!list.empty() && !list.back().MayHaveRun)
+      return &list.back();
+  }
   return nullptr;
 }
 
@@ -122,7 +134,7 @@
     return Queued{};
   }
   const NotRun why{"the account's queue is full",
-                   std::max<std::int64_t>(waitMs(job), 1)};
+                   std::max<std::int64_t>(waitMs(account.Id, job.Class), 1)};
   const QueuedJob *least = leastValued(account, job.Class);
   if (!least)
     return why;
@@ -231,13 +243,12 @@
   const auto it = Accounts.find(account);
   if (it == Accounts.end())
     return out;
-  for (const ClassQueue &list : it->second.Waiting) {
-    ClassCursor cursor(list);
-    while (const QueuedJob *job = cursor.next()) {
+  for (const JobList &list : it->second.Waiting) {
+    for (const QueuedJob &job : list) {
       if (depth-- == 0)
         return out;
-      if (job->NotBefore <= now)
-        out.push_back(job->Job.Id);
+      if (job.NotBefore <= now)
+        out.push_back(job.Job.Id);
     }
   }
   return out;
@@ -261,14 +272,14 @@
   return it == Accounts.end() ? 0 : it->second.Tag;
 }
 
-std::int64_t FairQueue::waitMs(const QueuedJob &job) const {
-  const auto it = Accounts.find(job.Job.Id.Account);
+std::int64_t FairQueue::waitMs(const ClientAccountId &account,
+                               ServiceClass cls) const {
+  const auto it = Accounts.find(account);
   if (it == Accounts.end() || it->second.Length == 0 || Capacity.Count == 0)
     return 0;
-  const std::size_t cls = indexOf(job.Class);
-  std::int64_t ahead = it->second.Waiting[cls].workUpTo(job.work());
-  for (std::size_t i = 0; i < cls; ++i)
-    ahead += it->second.Waiting[i].workUpTo(job.work());
+  std::int64_t ahead = 0;
+  for (std::size_t i = 0; i <= indexOf(cls); ++i)
+    ahead += it->second.Work[i];
   const double share = static_cast<double>(it->second.Share.Weight) /
                        static_cast<double>(WaitingWeight);
   return std::llround(static_cast<double>(ahead) / (Capacity.Count * share));
--- a/packages/policy/src/fair_walk.cpp
+++ b/packages/policy/src/fair_walk.cpp
@@ -16,22 +16,24 @@
 }
 
 FairWalk::Cursor &FairWalk::cursorOf(FairQueue::Account &account) {
-  const auto it = Cursors.find(&account);
-  if (it != Cursors.end())
-    return it->second;
-  const Cursor fresh{firstClass(), ClassCursor(account.Waiting[firstClass()]),
-                     0};
-  return Cursors.emplace(&account, fresh).first->second;
+  const auto [it, added] = Cursors.try_emplace(&account);
+  if (added) {
+    it->second.Class = firstClass();
+    it->second.It = account.Waiting[firstClass()].begin();
+  }
+  return it->second;
 }
 
 const QueuedJob *FairWalk::nextOf(FairQueue::Account &account) {
   Cursor &cursor = cursorOf(account);
   while (cursor.PassedOver < Depth) {
-    if (const QueuedJob *job = cursor.Jobs.next()) {
-      if (job->NotBefore <= Now)
-        return job;
+    if (cursor.It != account.Waiting[cursor.Class].end()) {
+      const QueuedJob &job = *cursor.It++;
+      if (job.NotBefore <= Now)
+        return &job;
     } else if (cursor.Class + 1 < endClass()) {
-      cursor.Jobs = ClassCursor(account.Waiting[++cursor.Class]);
+      ++cursor.Class;
+      cursor.It = account.Waiting[cursor.Class].begin();
     } else {
       return nullptr;
     }
--- a/packages/policy/src/pod_state.cpp
+++ b/packages/policy/src/pod_state.cpp
@@ -49,7 +49,7 @@
   queued.Class = cls;
   queued.EstimateMs = Times.estimateMs(job, ChargeQuantile);
   queued.QueuedAt = now;
-  auto refused = refuseTooLate(job, wall, Queue.waitMs(queued));
+  auto refused = refuseTooLate(job, wall, Queue.waitMs(account, cls));
   if (!refused) {
     const PushResult result = Queue.push(std::move(queued));
     if (const auto *why = std::get_if<NotRun>(&result))
