--- a/testing/bench/report.cpp
+++ b/testing/bench/report.cpp
@@ -1,6 +1,8 @@
 // Prints to standard output.
 #include "report.h"
 
+#include "citrongap/policy/reservation.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <functional>
@@ -15,6 +17,8 @@
 constexpr double SmallStartRatio = 1.2;
 constexpr double MsPerMinute = 60.0 * 1000;
 constexpr std::size_t TracedJobs = 8;
+/// A checkpoint takes 5 s in the simulation, and decisions see whole seconds.
+constexpr double ReclaimBoundSeconds = 6;
 
 using Figure = std::function<double(const SchedulerRun &)>;
 
@@ -150,6 +154,15 @@
   if (has(workload, "mint"))
     check("small callers' p99 start within 1.2", startRatio(ours),
           startRatio(ours) <= SmallStartRatio);
+  check(fmt::format("guaranteed starts within {:.0f} s", ReclaimBoundSeconds),
+        ours.Figures.ReclaimMax,
+        ours.Figures.ReclaimMax <= ReclaimBoundSeconds);
+  const double starvation = double(StarvationBound.count()) / MsPerMinute;
+  const double longest = ours.Figures.LongestWaitLargeGang;
+  if (longest > 0)
+    check(fmt::format("gangs from {} start within {:.0f} min", LargeGang.Count,
+                      starvation),
+          longest, longest <= starvation);
   check("no violation", ours.Figures.Violations, ours.Figures.Violations == 0);
 }
 
