--- a/packages/daemon/src/pod_owner.cpp
+++ b/packages/daemon/src/pod_owner.cpp
@@ -259,6 +259,9 @@
   if (it != Jobs.end() && it->second.InDoubt)
     endJob(decision.Job, Unknown{"it was claimed, and no server told what "
                                  "became of it"});
+  else if (decision.RanBefore)
+    endJob(decision.Job, Failed{decision.Why.Reason + ", after it was stopped "
+                                                      "once"});
   else
     endJob(decision.Job, decision.Why);
 }
--- a/packages/policy/src/start_rules.cpp
+++ b/packages/policy/src/start_rules.cpp
@@ -14,11 +14,16 @@
 constexpr std::size_t HomeDepth = 32;
 /// Jobs of one account and band that a pass may pass over.
 constexpr std::size_t AccountDepth = 64;
-/// Jobs that a pass may look at while accelerators are free, or none are.
-constexpr std::uint32_t PassDepth = 128;
+/// Jobs that a pass may look at while accelerators are free, or none are. In a
+/// large pod the next pass comes soon.
+constexpr std::uint32_t PassDepth = 80;
+constexpr std::uint32_t SmallPodPassDepth = 256;
+constexpr Accelerators SmallPod{1024};
 constexpr std::uint32_t FullPassDepth = 16;
 /// Jobs of a pass for which cells to reserve may be looked for.
 constexpr std::uint32_t ReservationTries = 4;
+/// Jobs of a pass that may be weighed for a reservation at all.
+constexpr std::uint32_t ReservationLooks = 32;
 
 /// Runs of one account that may be looked at for one to stop.
 constexpr std::uint32_t VictimDepth = 32;
@@ -44,6 +49,7 @@
   NoMovable.reset();
   NoMovableSurplus.reset();
   TriesLeft = ReservationTries;
+  LooksLeft = ReservationLooks;
   MostBeyond.reset();
   Footprints.repack([this](const ClientAccountId &account) {
     const auto it = Uses.find(account);
@@ -133,12 +139,14 @@
 
 void PodScheduler::State::walkQueue(MonoTime now, std::vector<Decision> &out) {
   FairWalk walk(Queue, now, AccountDepth);
+  const std::uint32_t depth =
+      Cells.total() <= SmallPod ? SmallPodPassDepth : PassDepth;
   std::uint32_t passedOver = 0;
   while (const QueuedJob *job = walk.next()) {
     if (tryStart(*job, now, out))
       continue;
     const bool full = Cells.open().available().Count == 0;
-    if (++passedOver >= (full ? FullPassDepth : PassDepth))
+    if (++passedOver >= (full ? FullPassDepth : depth))
       return;
   }
 }
@@ -157,6 +165,9 @@
     start(it.Id, std::move(*where), now, out);
     return true;
   }
+  if (TriesLeft == 0 || LooksLeft == 0)
+    return false;
+  --LooksLeft;
   if (now >= job.QueuedAt + reservationTerms(job.Class).ReserveAfter)
     reserve(job, now, out);
   if (now >= job.QueuedAt + ShareReclaimAfter)
@@ -316,20 +327,25 @@
   }
 }
 
-/// One server's cells of the victim and free ones there, enough for the job.
+/// Free cells and cells of the victim's account on one of its servers, enough
+/// for the job.
 std::optional<GangCells>
 PodScheduler::State::cellsBeside(const RunningJob &victim,
                                  const JobRequest &job) {
   if (victim.Revoking)
     return std::nullopt;
+  CellPool &free = job.Repeatable ? Cells.open() : Cells.surplus();
+  CellPool &movable = job.Repeatable ? Cells.movable() : Cells.movableSurplus();
   for (const ServerCells &part : victim.Cells) {
-    if (!Cells.placeable(part.Server))
+    SlotMask slots = free.availableOn(part.Server);
+    const SlotMask stoppable = movable.availableOn(part.Server) & ~slots;
+    if (slotCount(slots | stoppable) < job.Gang.Count)
       continue;
-    CellPool &free = job.Repeatable ? Cells.open() : Cells.surplus();
-    CellPool &movable =
-        job.Repeatable ? Cells.movable() : Cells.movableSurplus();
-    const SlotMask slots = free.availableOn(part.Server) |
-                           (part.Slots & movable.availableOn(part.Server));
+    forEachSlot({{part.Server, stoppable}}, [&](auto server, auto slot) {
+      const RunningJob *run = Cells.use(server, slot).Run;
+      if (run && run->job().Id.Account == victim.job().Id.Account)
+        slots |= SlotMask{1} << slot;
+    });
     if (slotCount(slots) >= job.Gang.Count)
       return GangCells{{part.Server, chooseSlots(slots, job.Gang.Count)}};
   }
