--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,7 @@
 # make bench  tables of the policy bench, ours against baselines and the bound
 bench: build
 	@$(BUILD)/testing/bench/policy_bench $(ARGS)
+
+# make soak   200 seeded fault schedules against real processes
+soak: build
+	@$(BUILD)/testing/scenario/citrongap_soak --build $(BUILD) --last 200 --at-once 6 testing/scenario/scenarios/soak.scenario
--- a/packages/daemon/include/citrongap/daemon/node.h
+++ b/packages/daemon/include/citrongap/daemon/node.h
@@ -75,6 +75,7 @@
   /// Until then a planned hand-over of the pod may still arrive.
   std::optional<MonoTime> AwaitHandOverUntil;
   std::optional<EntryVmId> LastOwner;
+  MonoTime KnowsPeersAt;
   bool FetchInFlight = false;
   Timer VmTimer;
   Timer OwnershipTimer;
--- a/packages/daemon/src/job_front.cpp
+++ b/packages/daemon/src/job_front.cpp
@@ -70,7 +70,7 @@
                      const AnswerCallback &callback) {
   const auto it = Jobs.find(job);
   if (it != Jobs.end()) {
-    addWaiter(job, waitUntil, std::move(callback));
+    addWaiter(job, waitUntil, callback);
     if (it->second.Final)
       settle(job, *it->second.Ended);
     return;
--- a/packages/daemon/src/node.cpp
+++ b/packages/daemon/src/node.cpp
@@ -16,6 +16,8 @@
 constexpr Millis OwnershipInterval{200};
 constexpr Millis ReportInterval{1000};
 constexpr Millis HandOverPatience{1000};
+/// Probes of a new entry VM are answered within it.
+constexpr Millis PeerDiscovery{1500};
 constexpr Seconds DrainLimit{8};
 /// Open requests get their answer for so long before they are told to ask
 /// again.
@@ -81,6 +83,7 @@
   });
   Follower.start();
   Claims.start();
+  KnowsPeersAt = monoNow() + PeerDiscovery;
   fetchVmList();
   VmTimer = Loop.every(VmListInterval, [this] { fetchVmList(); });
   OwnershipTimer = Loop.every(OwnershipInterval, [this] { checkOwnership(); });
@@ -156,9 +159,11 @@
   }
   if (Owner.active())
     return;
-  // A living last owner hands the pod over; a dead one never does.
+  // A living last owner hands the pod over; a dead one never does. Right after
+  // the start it is not known yet who lives.
+  const bool mayCome = LastOwner || monoNow() < KnowsPeersAt;
   if (!AwaitHandOverUntil)
-    AwaitHandOverUntil = monoNow() + (LastOwner ? HandOverPatience : Millis(0));
+    AwaitHandOverUntil = monoNow() + (mayCome ? HandOverPatience : Millis(0));
   if (monoNow() >= *AwaitHandOverUntil) {
     Owner.activate({});
     Front.onOwnersChanged();
