Refusals: not from memory, not from an old reading of the log, not without a lease

An owner that holds no lease says 'unknown', not 'not run'. Tests a_refusal_is_not_told_from_memory and an_owner_without_leases_does_not_say_not_run.

--- a/packages/daemon/include/citrongap/daemon/peer_broker.h
+++ b/packages/daemon/include/citrongap/daemon/peer_broker.h
@@ -39,7 +39,6 @@
                                           const JobRequest &job) const;
   void answerQuestion(const std::shared_ptr<Question> &question);
 
-  EventLoop &Loop;
   PodDirectory &Directory;
   Configuration Lists;
   /// Largest guaranteed gang of each account in each pod.
--- a/packages/daemon/src/job_front.cpp
+++ b/packages/daemon/src/job_front.cpp
@@ -69,7 +69,10 @@
 void JobFront::await(const PodId &pod, const JobId &job, MonoTime waitUntil,
                      const AnswerCallback &callback) {
   const auto it = Jobs.find(job);
-  if (it != Jobs.end()) {
+  // A refused key may have been submitted anew elsewhere.
+  const bool stale =
+      it != Jobs.end() && it->second.Final && mayTryAgain(*it->second.Ended);
+  if (it != Jobs.end() && !stale) {
     addWaiter(job, waitUntil, callback);
     if (it->second.Final)
       settle(job, *it->second.Ended);
--- a/packages/daemon/src/job_front_test.cpp
+++ b/packages/daemon/src/job_front_test.cpp
@@ -188,3 +188,15 @@
   BOOST_CHECK(std::get<JobStage>(Answers[0]) == JobStage::Waiting);
   BOOST_TEST(Directory.Guards >= 1U);
 }
+
+BOOST_FIXTURE_TEST_CASE(a_refusal_is_not_told_from_memory, Fixture) {
+  submit(job(), Millis(3000));
+  until([&] { return Directory.Submitted.size() == 1; });
+  end(NotRun{"the log is away", 1000});
+  Directory.View = JobView{JobStage::Ended, Done{"ran elsewhere"}, Pod};
+  std::optional<JobFront::Answer> told;
+  Front.await(Pod, job().Id, monoNow(),
+              [&](const JobFront::Answer &it) { told = it; });
+  BOOST_REQUIRE(until([&] { return told.has_value(); }));
+  BOOST_CHECK(std::get<Outcome>(*told) == Outcome(Done{"ran elsewhere"}));
+}
--- a/packages/daemon/src/ledger_claims.cpp
+++ b/packages/daemon/src/ledger_claims.cpp
@@ -211,6 +211,9 @@
 
 std::vector<JobRequest> LedgerClaims::owed() const {
   std::vector<JobRequest> out;
+  // Until the log names this holder, what was read of it may be old.
+  if (!Held)
+    return out;
   for (const JobEntry *it : Writer.ledger().waitingJobs()) {
     const auto record = decodeAttempt(*it->Accepted);
     if (record && !outcomeOf(record->Job.Id))
--- a/packages/daemon/src/peer_broker.cpp
+++ b/packages/daemon/src/peer_broker.cpp
@@ -29,7 +29,7 @@
 };
 
 PeerBroker::PeerBroker(EventLoop &loop, PodDirectory &directory)
-    : Loop(loop), Directory(directory), Delegates(loop, directory, true) {}
+    : Directory(directory), Delegates(loop, directory, true) {}
 
 void PeerBroker::configure(const Configuration &configuration) {
   Lists = configuration;
--- a/packages/daemon/src/pod_owner_ends.cpp
+++ b/packages/daemon/src/pod_owner_ends.cpp
@@ -132,7 +132,10 @@
   OwnedJob &owned = it->second;
   owned.EndRecorded = recorded == Recorded::Yes;
   if (std::holds_alternative<NotRun>(*owned.Ended)) {
-    const bool safe = owned.EndRecorded || owned.Job.Deadline <= wallNow();
+    // An owner that woke without a lease may have a successor.
+    const bool holds = unreadyServers().size() < Sessions.size();
+    const bool safe =
+        (owned.EndRecorded && holds) || owned.Job.Deadline <= wallNow();
     if (!safe)
       owned.Ended = Unknown{"the log did not confirm that it will not run"};
     tellFronts(id);
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -104,7 +104,7 @@
         Loop, Servers, Claims, Broker, EntryVmId(name), DataCentreId("dc"),
         shortTerms(),
         [this](const EntryVmId &front, const EndNotice &message,
-               std::function<void(bool)> callback) {
+               const std::function<void(bool)> &callback) {
           Messages.push_back({front, message.Ended, message.Final});
           if (message.Final)
             Ended[message.Job] = message.Ended;
@@ -413,3 +413,19 @@
   BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
   BOOST_CHECK(site.endedAs<Unknown>(job));
 }
+
+BOOST_AUTO_TEST_CASE(an_owner_without_leases_does_not_say_not_run) {
+  Fixture site(1);
+  site.Servers.setRun(Millis(60000));
+  const auto first = Fixture::job("first", 8);
+  const auto second = Fixture::job("second", 8);
+  site.Owner->submit(first, {FrontA, false, false}, ignore);
+  BOOST_REQUIRE(
+      site.until([&] { return site.Servers.running(first.Id) == 1; }));
+  site.Owner->submit(second, {FrontA, false, false}, ignore);
+  site.Servers.setSilent(BackendServerId("s0"), true);
+  site.Loop.runUntil(monoNow() + shortTerms().LeaseTerm + Millis(100));
+  site.Owner->cancel(second.Id, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.ended(second); }));
+  BOOST_CHECK(site.endedAs<Unknown>(second));
+}
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -16,7 +16,7 @@
 
 std::string readIp(IniDocument &doc, const std::string &section,
                    const std::string &key, Findings &findings) {
-  const std::string ip = doc.text(section, key, findings);
+  std::string ip = doc.text(section, key, findings);
   in_addr parsed{};
   if (!ip.empty() && inet_pton(AF_INET, ip.c_str(), &parsed) != 1)
     findings.add(doc.place(section, key),
