--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,10 @@
 demo: build
 	@$(BUILD)/testing/demo/citrongap_demo $(BUILD) examples/lahore
 
+# make capacity  what a unit of each load costs; docs/CAPACITY.md has the table
+capacity: build
+	@$(BUILD)/testing/capacity/citrongap_capacity
+
 test: build
 	@.ci/test $(BUILD)
 
