--- a/testing/capacity/src/canned_server.cpp
+++ b/testing/capacity/src/canned_server.cpp
@@ -1,6 +1,8 @@
 // Blocking reads after poll(2); one request at a time on a connection.
 #include "canned_server.h"
 
+#include "measure.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <fmt/format.h>
@@ -88,7 +90,7 @@
   socklen_t length = sizeof(address);
   if (bind(listener, generic(address), length) != 0 ||
       listen(listener, Backlog) != 0)
-    fmt::print("can't listen on 127.0.0.1\n");
+    giveUp("can't listen on 127.0.0.1");
   getsockname(listener, generic(address), &length);
   Listeners.push_back(listener);
   At.push_back({"127.0.0.1", ntohs(address.sin_port)});
--- a/testing/capacity/src/lease_cost.cpp
+++ b/testing/capacity/src/lease_cost.cpp
@@ -76,7 +76,7 @@
   next();
   loop.runUntil(monoNow() + Patience);
   if (left >= 0)
-    fmt::print("only {} of {} calls were answered\n", times - left, times);
+    giveUp(fmt::format("fewer than {} calls were answered", times));
 }
 
 void measureRenewals(const std::string &what, std::uint64_t since) {
@@ -134,7 +134,7 @@
   }
   loop.runUntil(monoNow() + Patience);
   if (ready != servers)
-    fmt::print("only {} of {} sessions are ready\n", ready, servers);
+    giveUp(fmt::format("only {} of {} sessions are ready", ready, servers));
   // The next syncs go out, and are held.
   loop.runUntil(monoNow() + Millis(200));
   return usedBytes() - before;
--- a/testing/capacity/src/log_cost.cpp
+++ b/testing/capacity/src/log_cost.cpp
@@ -122,10 +122,10 @@
     bytes.push_back({size, usedBytes() - before});
     const Revision base = log.revision();
     if (log.configuration().Accounts.size() != accounts)
-      fmt::print("not all accounts were accepted\n");
+      giveUp("not all accounts were accepted");
     micros.push_back({size, microsAChange(log, accounts)});
     if (log.revision().value() - base.value() != Changes)
-      fmt::print("not all changes were accepted: {} accounts\n", accounts);
+      giveUp("not all changes were accepted");
     snapshot.push_back(
         {size, static_cast<double>(encodeSnapshot(log.snapshot()).size())});
   }
--- a/testing/capacity/src/measure.h
+++ b/testing/capacity/src/measure.h
@@ -5,6 +5,8 @@
 
 #include "citrongap/policy/job.h"
 
+#include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <fmt/format.h>
 #include <malloc.h>
@@ -25,6 +27,12 @@
          static_cast<double>(at.tv_nsec) / 1e3;
 }
 
+/// Ends the run: a table with a figure that was not measured is worth nothing.
+[[noreturn]] inline void giveUp(const std::string &why) {
+  fmt::print(stderr, "capacity: {}\n", why);
+  std::_Exit(EXIT_FAILURE);
+}
+
 /// One figure at one size.
 struct Point {
   double Size = 0;
--- a/testing/capacity/src/scheduler_cost.cpp
+++ b/testing/capacity/src/scheduler_cost.cpp
@@ -116,6 +116,8 @@
     submitJobs(pod, jobs);
     const double start = cpuMicros();
     const std::size_t decisions = pod.decide(Wall, Now).size();
+    if (decisions != jobs)
+      giveUp(fmt::format("{} of {} jobs started", decisions, jobs));
     fill.push_back(
         {size, (cpuMicros() - start) / static_cast<double>(decisions)});
     bytes.push_back({size, usedBytes() - before});
