--- a/testing/capacity/src/canned_server.cpp
+++ b/testing/capacity/src/canned_server.cpp
@@ -64,9 +64,9 @@
 } // namespace
 
 CannedServer::CannedServer(std::size_t ports, const CannedAnswers &answers)
-    : Answers{withHead(answers.Lease), withHead(answers.AllTasks),
+    : Answers{withHead(answers.Lease),   withHead(answers.AllTasks),
               withHead(answers.NoTasks), withHead(answers.Document),
-              answers.HoldSyncs} {
+              answers.HoldSyncs,         answers.Delay} {
   for (std::size_t i = 0; i < ports; ++i)
     listenOnce();
   Connections.reserve(ports * ConnectionsPerPort);
@@ -142,6 +142,7 @@
   if (whole == 0 || bytes.size() < whole)
     return;
   from.Used = 0;
+  std::this_thread::sleep_for(Answers.Delay);
   if (const std::string *answer = answerTo(bytes))
     sendAll(from.Socket, *answer);
 }
--- a/testing/capacity/src/canned_server.h
+++ b/testing/capacity/src/canned_server.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -23,6 +24,8 @@
   std::string Document;
   /// A sync that knows all tasks gets no answer, as in a long poll.
   bool HoldSyncs = false;
+  /// Each answer comes so late; other connections wait too.
+  std::chrono::milliseconds Delay{0};
 };
 
 class CannedServer {
--- a/testing/capacity/src/lease_cost.cpp
+++ b/testing/capacity/src/lease_cost.cpp
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr int Renewals = 2000;
+/// Answers are held for longer than the kernel holds an acknowledgement back,
+/// as in a long poll: that is a packet more.
+constexpr int HeldRenewals = 20;
+constexpr Millis Hold{100};
 constexpr int ListFetches = 5;
 constexpr std::uint32_t TasksPerServer = 12;
 constexpr std::size_t Accounts = 710;
@@ -58,8 +62,12 @@
   std::string tasks;
   for (std::uint32_t i = 0; i < TasksPerServer; ++i)
     tasks += (i == 0 ? "" : ",") + taskJson(i);
-  return {R"({"token":7})", R"({"version":7,"tasks":[)" + tasks + "]}",
-          R"({"version":7,"tasks":[]})", "{}", false};
+  return {R"({"token":7})",
+          R"({"version":7,"tasks":[)" + tasks + "]}",
+          R"({"version":7,"tasks":[]})",
+          "{}",
+          false,
+          Millis(0)};
 }
 
 /// Calls `once(then)` so many times, one after the other.
@@ -79,14 +87,21 @@
     giveUp(fmt::format("fewer than {} calls were answered", times));
 }
 
-void measureRenewals(const std::string &what, std::uint64_t since) {
-  const CannedServer server(1, leaseAnswers());
+struct RenewalCost {
+  Traffic Spent;
+  double Micros = 0;
+};
+
+/// Of one renewal, in the mean of `times`.
+RenewalCost renew(const CannedAnswers &answers, std::uint64_t since,
+                  int times) {
+  const CannedServer server(1, answers);
   EventLoop loop;
   HttpClient http(loop, "");
   HttpBackendPort port(http);
   const PodTerms terms;
-  SyncRequest request{FencingToken(7), terms.LeaseTerm, terms.TaskTerm,
-                      since,           terms.SyncWait,  {}};
+  const SyncRequest request{FencingToken(7), terms.LeaseTerm, terms.TaskTerm,
+                            since,           terms.SyncWait,  {}};
   const auto once = [&](std::function<void()> then) {
     port.sync(server.endpoints()[0], request, monoNow() + Patience,
               [then = std::move(then)](const PortResult<SyncAnswer> &result) {
@@ -97,14 +112,29 @@
   repeat(loop, 1, once);
   const Traffic before = trafficTo(server.endpoints());
   const double start = cpuMicros();
-  repeat(loop, Renewals, once);
+  repeat(loop, times, once);
   const double micros = cpuMicros() - start;
   const Traffic spent = trafficTo(server.endpoints()) - before;
-  printFigure(what + ", request with HTTP head", spent.Sent / Renewals, "B");
-  printFigure(what + ", answer with HTTP head", spent.Received / Renewals, "B");
-  printFigure(what + ", both with TCP and IP heads", spent.onWire() / Renewals,
-              "B");
-  printFigure(what + ", processor time", micros / Renewals, "us");
+  const auto n = static_cast<double>(times);
+  return {{spent.Sent / n, spent.Received / n, spent.Packets / n}, micros / n};
+}
+
+void measureRenewals(const std::string &what, std::uint64_t since) {
+  const RenewalCost it = renew(leaseAnswers(), since, Renewals);
+  printFigure(what + ", request with HTTP head", it.Spent.Sent, "B");
+  printFigure(what + ", answer with HTTP head", it.Spent.Received, "B");
+  printFigure(what + ", both with TCP and IP heads", it.Spent.onWire(), "B");
+  printFigure(what + ", processor time", it.Micros, "us");
+}
+
+void measureHeldRenewals() {
+  CannedAnswers answers = leaseAnswers();
+  answers.Delay = Hold;
+  const RenewalCost it = renew(answers, 7, HeldRenewals);
+  printFigure("renewal held as in a long poll, with TCP and IP heads",
+              it.Spent.onWire(), "B");
+  printFigure("renewal held as in a long poll, processor time", it.Micros,
+              "us");
 }
 
 double bytesOfSessions(std::size_t servers) {
@@ -155,6 +185,7 @@
 
 void measureLeases() {
   measureRenewals("renewal with no changed task", 7);
+  measureHeldRenewals();
   measureRenewals("renewal with 12 running tasks told", 0);
   std::vector<Point> bytes;
   for (const std::size_t servers : {25U, 50U, 100U, 200U})
