Metrics per account and class, and citrongap histogram

Answers to submissions, time to finish (buckets and P-square quantiles) and the node's own figures on /metrics.

Submissions answered 202 count as open: the time of a job whose outcome is fetched by a later GET is not in the histogram.

--- a/packages/cli/include/citrongap/cli/commands.h
+++ b/packages/cli/include/citrongap/cli/commands.h
@@ -31,6 +31,7 @@
 int runWait(const Arguments &arguments);
 int runCancel(const Arguments &arguments);
 int runStatus(const Arguments &arguments);
+int runHistogram(const Arguments &arguments);
 
 } // namespace citrongap::cli
 
--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -17,13 +17,14 @@
   std::string_view About;
 };
 
-constexpr std::array<Command, 6> Commands{
+constexpr std::array<Command, 7> Commands{
     {{"check", runCheck, "report findings in settings or in the two lists"},
      {"publish", runPublish, "show what will change and publish it"},
      {"submit", runSubmit, "submit a job"},
      {"wait", runWait, "wait until a job has ended"},
      {"cancel", runCancel, "cancel a job"},
-     {"status", runStatus, "members, pods, queues and servers"}}};
+     {"status", runStatus, "members, pods, queues and servers"},
+     {"histogram", runHistogram, "time to finish per account and class"}}};
 
 void printHelp(std::FILE *to) {
   fmt::print(to, "citrongap: gangs of accelerators under guarantees\n\nUsage: "
--- a/packages/daemon/include/citrongap/daemon/http_api.h
+++ b/packages/daemon/include/citrongap/daemon/http_api.h
@@ -4,6 +4,7 @@
 
 #include "citrongap/base/random.h"
 #include "citrongap/daemon/job_front.h"
+#include "citrongap/daemon/metrics.h"
 #include "citrongap/net/http_server.h"
 #include "citrongap/policy/configuration.h"
 
@@ -36,7 +37,8 @@
 
 class HttpApi {
 public:
-  HttpApi(NodeServices &node, JobFront &front, std::size_t maxOpenRequests);
+  HttpApi(NodeServices &node, JobFront &front, Metrics &metrics,
+          std::size_t maxOpenRequests);
 
   void handle(const HttpRequest &request, const HttpResponder &responder);
   /// Requests taken and not yet answered.
@@ -60,6 +62,7 @@
   Random Ids = Random::fromDevice();
   NodeServices &Node;
   JobFront &Front;
+  Metrics &Counted;
   std::size_t MaxOpen;
   std::shared_ptr<std::size_t> Open = std::make_shared<std::size_t>(0);
   std::map<ClientAccountId, RateWindow> Rates;
--- a/packages/daemon/include/citrongap/daemon/node.h
+++ b/packages/daemon/include/citrongap/daemon/node.h
@@ -5,6 +5,7 @@
 
 #include "citrongap/daemon/http_api.h"
 #include "citrongap/daemon/ledger_claims.h"
+#include "citrongap/daemon/metrics.h"
 #include "citrongap/daemon/peer_directory.h"
 #include "citrongap/daemon/settings.h"
 #include "citrongap/ledger/configuration_follower.h"
@@ -63,6 +64,8 @@
   SwimMembership Members;
   ConfigurationFollower Follower;
   LedgerClaims Claims;
+  /// Outlives what calls back into it.
+  Metrics Counted;
   PeerDirectory Directory;
   PeerBroker Broker;
   PodOwner Owner;
--- a/packages/daemon/src/http_api.cpp
+++ b/packages/daemon/src/http_api.cpp
@@ -102,9 +102,9 @@
 
 } // namespace
 
-HttpApi::HttpApi(NodeServices &node, JobFront &front,
+HttpApi::HttpApi(NodeServices &node, JobFront &front, Metrics &metrics,
                  std::size_t maxOpenRequests)
-    : Node(node), Front(front), MaxOpen(maxOpenRequests) {}
+    : Node(node), Front(front), Counted(metrics), MaxOpen(maxOpenRequests) {}
 
 void HttpApi::handle(const HttpRequest &request,
                      const HttpResponder &responder) {
@@ -152,17 +152,24 @@
     return responder.send({BadRequest, findingsJson(findings)});
   if (job.Deadline <= wallNow())
     return answerExpired(job.Id, responder);
-  if (rateExceeded(job.Id.Account))
+  const bool tooFast = rateExceeded(job.Id.Account);
+  if (tooFast || *Open >= MaxOpen) {
+    Counted.onTurnedAway(job.Id.Account, job.Class);
     return responder.send(
-        notLookedAt(TooMany, job.Id, "the account's request rate is exceeded"));
-  if (*Open >= MaxOpen)
-    return responder.send(
-        notLookedAt(Unavailable, job.Id, "too many open requests"));
+        tooFast ? notLookedAt(TooMany, job.Id,
+                              "the account's request rate is exceeded")
+                : notLookedAt(Unavailable, job.Id, "too many open requests"));
+  }
   ++*Open;
   const auto submitted = Front.submit(
       Node.homeOf(job.Id), job, monoNow() + *wait,
-      [responder, id = job.Id, open = Open](const JobFront::Answer &answer) {
+      [responder, id = job.Id, it = job.Class, open = Open, came = monoNow(),
+       &counted = Counted](const JobFront::Answer &answer) {
         --*open;
+        if (const auto *outcome = std::get_if<Outcome>(&answer))
+          counted.onOutcome(id.Account, it, *outcome, monoNow() - came);
+        else
+          counted.onOpen(id.Account, it);
         responder.send(answerResponse(id, answer));
       });
   if (std::holds_alternative<JobFront::KeyReused>(submitted)) {
--- a/packages/daemon/src/node.cpp
+++ b/packages/daemon/src/node.cpp
@@ -47,7 +47,8 @@
                    std::function<void(bool)> callback) {
               Directory.notify(front, message, std::move(callback));
             }),
-      Front(loop, Directory), Api(*this, Front, Config.MaxOpenRequests),
+      Front(loop, Directory),
+      Api(*this, Front, Counted, Config.MaxOpenRequests),
       Server(
           loop, Config.Limits,
           [this](const HttpRequest &request, const HttpResponder &responder) {
--- a/packages/daemon/src/node_status.cpp
+++ b/packages/daemon/src/node_status.cpp
@@ -140,14 +140,15 @@
 
 std::string Node::metricsText() const {
   const PodSummary summary = Owner.summary();
-  return fmt::format("# TYPE citrongap_configuration_revision gauge\n"
-                     "citrongap_configuration_revision {}\n"
-                     "# TYPE citrongap_open_requests gauge\n"
-                     "citrongap_open_requests {}\n"
-                     "# TYPE citrongap_pod_free_accelerators gauge\n"
-                     "citrongap_pod_free_accelerators {}\n",
-                     revision().value(), Api.openRequests(),
-                     summary.Free.Count);
+  NodeFigures node;
+  node.InForce = revision();
+  node.OpenRequests = Api.openRequests();
+  node.Free = summary.Free;
+  node.RunningJobs = summary.RunningJobs;
+  if (Owner.active())
+    for (const auto &[account, n] : Owner.queueLengths())
+      node.Queued[account] = n;
+  return Counted.text(node);
 }
 
 void Node::publish(const std::string &body,
