--- a/packages/base/src/ini_document.cpp
+++ b/packages/base/src/ini_document.cpp
@@ -24,8 +24,61 @@
   return 1;
 }
 
-/// inih has a fixed line buffer, so that longer lines are reported here.
+/// inih has fixed buffers, so that longer lines and names are reported here.
 constexpr std::size_t MaxLineBytes = 199;
+constexpr std::size_t MaxSectionBytes = 49;
+
+/// Bytes of the UTF-8 sequence that starts the text; 0 when it is broken.
+std::size_t sequenceLength(std::string_view text) {
+  const auto byte = [&](std::size_t n) -> unsigned {
+    return static_cast<unsigned char>(text[n]);
+  };
+  const unsigned lead = byte(0);
+  if (lead < 0x80)
+    return 1;
+  const std::size_t size = lead < 0xe0 ? 2 : lead < 0xf0 ? 3 : 4;
+  if (lead < 0xc2 || lead > 0xf4 || text.size() < size)
+    return 0;
+  for (std::size_t n = 1; n < size; ++n)
+    if ((byte(n) & 0xc0) != 0x80)
+      return 0;
+  // Overlong forms, surrogates and what is past U+10FFFF.
+  const unsigned second = byte(1);
+  const bool bad =
+      (lead == 0xe0 && second < 0xa0) || (lead == 0xed && second > 0x9f) ||
+      (lead == 0xf0 && second < 0x90) || (lead == 0xf4 && second > 0x8f);
+  return bad ? 0 : size;
+}
+
+bool isUtf8(std::string_view text) {
+  while (!text.empty()) {
+    const std::size_t size = sequenceLength(text);
+    if (size == 0)
+      return false;
+    text.remove_prefix(size);
+  }
+  return true;
+}
+
+/// Bytes between the brackets of a section's line; 0 for other lines.
+std::size_t sectionBytes(std::string_view line) {
+  const auto begin = line.find_first_not_of(" \t\r\v\f");
+  if (begin == std::string_view::npos || line[begin] != '[')
+    return 0;
+  const auto end = line.find(']', begin);
+  return end == std::string_view::npos ? 0 : end - begin - 1;
+}
+
+void reportLineFaults(const std::string &place, std::string_view line,
+                      Findings &findings) {
+  if (line.size() > MaxLineBytes)
+    findings.add(place, fmt::format("is longer than {} bytes", MaxLineBytes));
+  if (sectionBytes(line) > MaxSectionBytes)
+    findings.add(place, fmt::format("has a section name longer than {} bytes",
+                                    MaxSectionBytes));
+  if (!isUtf8(line))
+    findings.add(place, "is not UTF-8");
+}
 
 void reportRawFaults(const std::string &name, std::string_view text,
                      Findings &findings) {
@@ -35,9 +88,8 @@
   std::size_t begin = 0;
   while (begin < text.size()) {
     const std::size_t end = std::min(text.find('\n', begin), text.size());
-    if (end - begin > MaxLineBytes)
-      findings.add(fmt::format("{} line {}", name, line),
-                   fmt::format("is longer than {} bytes", MaxLineBytes));
+    reportLineFaults(fmt::format("{} line {}", name, line),
+                     text.substr(begin, end - begin), findings);
     begin = end + 1;
     ++line;
   }
--- a/packages/base/src/ini_document_test.cpp
+++ b/packages/base/src/ini_document_test.cpp
@@ -41,3 +41,31 @@
   BOOST_TEST(findings.items().size() == 2U);
   BOOST_TEST(findings.items()[0].Place == "vm.ini line 2");
 }
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_not_utf8_are_findings_with_their_line) {
+  for (const char *broken : {"\xff", "\x80", "\xc0\xaf", "\xe0\x80\x80",
+                             "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xf0\x9f"}) {
+    Findings findings;
+    IniDocument::fromText("vm.ini", std::string("[a]\nx = 1") + broken + "\n",
+                          findings);
+    BOOST_TEST(findings.text() == "vm.ini line 2: is not UTF-8\n");
+  }
+  Findings findings;
+  auto doc = IniDocument::fromText(
+      "vm.ini", "[a]\nx = \xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80\n", findings);
+  BOOST_TEST(doc.text("a", "x", findings) ==
+             "\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80");
+  BOOST_TEST(findings.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_long_section_name_is_a_finding_not_silently_cut) {
+  Findings findings;
+  const std::string longest(49, 'y');
+  const auto doc =
+      IniDocument::fromText("vm.ini", "[" + longest + "]\nx = 1\n", findings);
+  BOOST_TEST(findings.empty());
+  BOOST_TEST(doc.has(longest, "x"));
+  IniDocument::fromText("vm.ini", "\n [" + longest + "y]\nx = 1\n", findings);
+  BOOST_TEST(findings.text() ==
+             "vm.ini line 2: has a section name longer than 49 bytes\n");
+}
--- a/packages/daemon/src/node_status.cpp
+++ b/packages/daemon/src/node_status.cpp
@@ -19,6 +19,11 @@
 constexpr int Conflict = 409;
 constexpr int Unavailable = 503;
 
+/// Names come from peers too: bytes that are not UTF-8 are replaced.
+std::string dump(const json &it) {
+  return it.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 const char *nameOf(MemberState it) {
   switch (it) {
   case MemberState::Alive:
@@ -48,8 +53,7 @@
       Overloaded{
           [](const ConfigurationAccepted &it) {
             return HttpResponse{
-                200,
-                json{{"accepted", true}, {"revision", it.At.value()}}.dump()};
+                200, dump({{"accepted", true}, {"revision", it.At.value()}})};
           },
           [](const ConfigurationRefused &it) {
             json findings = json::array();
@@ -57,17 +61,15 @@
               findings.push_back(
                   {{"place", finding.Place}, {"message", finding.Message}});
             return HttpResponse{
-                Conflict,
-                json{{"accepted", false}, {"findings", findings}}.dump()};
+                Conflict, dump({{"accepted", false}, {"findings", findings}})};
           },
           [](const Unconfirmed &it) {
             return HttpResponse{
                 Unavailable,
-                json{{"accepted", nullptr},
-                     {"error", "the change is unconfirmed: " + it.Reason +
-                                   "; look at the revision before "
-                                   "publishing again"}}
-                    .dump()};
+                dump({{"accepted", nullptr},
+                      {"error", "the change is unconfirmed: " + it.Reason +
+                                    "; look at the revision before "
+                                    "publishing again"}})};
           }},
       result);
 }
@@ -113,7 +115,7 @@
                 {"owner", Directory.ownerOf(Owner.pod())},
                 {"owned_here", Owner.active()}};
   if (!Owner.active())
-    return out.dump();
+    return dump(out);
   json queues = json::object();
   for (const auto &[account, n] : Owner.queueLengths())
     queues[account.str()] = n;
@@ -129,13 +131,12 @@
                      {"quarantined", summary.QuarantinedServers},
                      {"queues", queues},
                      {"unready_servers", unready}});
-  return out.dump();
+  return dump(out);
 }
 
 std::string Node::configurationJson() const {
-  return json{{"revision", revision().value()},
-              {"state", Follower.exportState()}}
-      .dump();
+  return dump(
+      {{"revision", revision().value()}, {"state", Follower.exportState()}});
 }
 
 std::string Node::metricsText() const {
