--- a/packages/daemon/include/citrongap/daemon/pod_owner.h
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -85,6 +85,8 @@
     std::optional<Outcome> Ended;
     std::unique_ptr<GangRun> Run;
     std::uint32_t Attempts = 0;
+    /// Of `EndedAttempts`, those of this job.
+    std::vector<std::string> EndedAttempts;
     /// Chosen for this pod by the key's home; not passed on again.
     bool Delegated = false;
     /// No other owner ever had it.
@@ -183,6 +185,9 @@
   std::map<std::string, FoundAttempt> Found;
   /// Job of each attempt that runs.
   std::map<std::string, JobId> Attempts;
+  /// Attempts that this owner ended itself, until their job is forgotten;
+  /// states of them that come late say nothing new.
+  std::set<std::string> EndedAttempts;
   /// Ended attempts, destroyed from the loop.
   std::vector<std::unique_ptr<GangRun>> Finished;
   /// Ended jobs whose outcome the log has not confirmed, and when to try again.
--- a/packages/daemon/src/fake_backends.cpp
+++ b/packages/daemon/src/fake_backends.cpp
@@ -62,6 +62,12 @@
       it.Silent = on;
 }
 
+void FakeBackends::refusePrepares(const BackendServerId &server, unsigned n) {
+  for (auto &[address, it] : Servers)
+    if (it.About.Id == server)
+      it.RefusedPrepares = n;
+}
+
 unsigned FakeBackends::releases(const JobId &job) const {
   const auto it = Released.find(job);
   return it == Released.end() ? 0 : it->second;
@@ -162,7 +168,15 @@
 void FakeBackends::prepare(const Endpoint &server, FencingToken token,
                            const PrepareTask &task, MonoTime deadline,
                            PortCallback<std::monostate> callback) {
-  ++at(server).Prepares;
+  Server &asked = at(server);
+  ++asked.Prepares;
+  if (asked.RefusedPrepares > 0) {
+    --asked.RefusedPrepares;
+    later(monoNow() + Latency, [callback = std::move(callback)] {
+      callback(Rejected{503, "takes no new work", {}, 0});
+    });
+    return;
+  }
   serve<std::monostate>(server, deadline, std::move(callback), [&](Server &it) {
     return it.Model->prepare(token, task, {Run, false, task.Job.Key.str()},
                              monoNow());
--- a/packages/daemon/src/fake_backends.h
+++ b/packages/daemon/src/fake_backends.h
@@ -23,6 +23,8 @@
   std::vector<BackendServer> list() const;
   /// Every call to the server is left without effect and answer.
   void setSilent(const BackendServerId &server, bool on);
+  /// The server refuses its next `n` prepares.
+  void refusePrepares(const BackendServerId &server, unsigned n);
   /// The next releases take effect and their answers are lost.
   void loseReleaseAnswers(unsigned n) { LostReleases = n; }
   /// Answers of syncs that tell of prepared tasks come late, after a release.
@@ -57,6 +59,7 @@
     std::unique_ptr<standins::BackendServerModel> Model;
     bool Silent = false;
     unsigned Prepares = 0;
+    unsigned RefusedPrepares = 0;
   };
 
   Server &at(const Endpoint &address);
--- a/packages/daemon/src/pod_owner.cpp
+++ b/packages/daemon/src/pod_owner.cpp
@@ -69,6 +69,7 @@
   Deferred.clear();
   Found.clear();
   Attempts.clear();
+  EndedAttempts.clear();
   Untold.clear();
   RecordAgain.clear();
   Claims.letGo();
@@ -165,6 +166,8 @@
       job->second.Run->onTask(state);
     return;
   }
+  if (EndedAttempts.contains(attempt))
+    return;
   const auto record = decodeAttempt(state.Request);
   if (!record) {
     LogLine("server {} holds task {} of an unreadable request", server.str(),
@@ -289,9 +292,12 @@
   }
   constexpr Seconds KeepAfterDeadline{60};
   std::erase_if(Jobs, [&](const auto &it) {
-    return it.second.Ended &&
-           it.second.Job.Deadline + KeepAfterDeadline < wallNow() &&
-           !Untold.contains(it.first);
+    const bool over = it.second.Ended && !Untold.contains(it.first) &&
+                      it.second.Job.Deadline + KeepAfterDeadline < wallNow();
+    if (over)
+      for (const auto &attempt : it.second.EndedAttempts)
+        EndedAttempts.erase(attempt);
+    return over;
   });
   poke();
 }
--- a/packages/daemon/src/pod_owner_ends.cpp
+++ b/packages/daemon/src/pod_owner_ends.cpp
@@ -26,6 +26,8 @@
   for (std::uint32_t i = 0; i < parts.size(); ++i)
     owned.Unacknowledged.emplace_back(parts[i].Server, owned.Run->taskOf(i));
   Attempts.erase(owned.Run->record().Attempt);
+  EndedAttempts.insert(owned.Run->record().Attempt);
+  owned.EndedAttempts.push_back(owned.Run->record().Attempt);
   Finished.push_back(std::move(owned.Run));
   owned.Run = nullptr;
   owned.Stage = JobStage::Waiting;
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -429,3 +429,15 @@
   BOOST_REQUIRE(site.until([&] { return site.ended(second); }));
   BOOST_CHECK(site.endedAs<Unknown>(second));
 }
+
+BOOST_AUTO_TEST_CASE(late_states_of_an_ended_attempt_are_not_adopted) {
+  Fixture site(2);
+  BOOST_REQUIRE(site.until([&] { return !site.Owner->recovering(); }));
+  site.Servers.tellPreparedLate(true);
+  site.Servers.refusePrepares(BackendServerId("s1"), 1);
+  const auto job = Fixture::job("k", 16, false);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<Done>(job));
+  BOOST_TEST(site.Servers.releases(job.Id) == 2U);
+}
