A past deadline of an unknown key is answered as bad input and 'unknown'

Cause (soak seed 102): the pod's owners had died, the home knew nothing of a key that had run, and the finding read as 'not run'. Nothing starts past the deadline, but whether an earlier call ran can't be told.

--- a/packages/daemon/src/http_api.cpp
+++ b/packages/daemon/src/http_api.cpp
@@ -54,6 +54,15 @@
           job.Account.str(), job.Key.str(), reason, RateRetryMs)};
 }
 
+/// Nobody asked knows the key; an owner that died may have run it.
+HttpResponse expiredResponse(const JobId &job) {
+  return {
+      BadRequest,
+      fmt::format(
+          R"({{"account":"{}","key":"{}","outcome":"unknown","reason":"the deadline has passed and nothing starts; an earlier call with this key may have run","findings":[{{"place":"/deadline_ms","message":"has passed"}}]}})",
+          job.Account.str(), job.Key.str())};
+}
+
 HttpResponse stageResponse(const JobId &job, JobStage stage) {
   if (stage == JobStage::NotKnown)
     return errorResponse(
@@ -202,9 +211,7 @@
                 const auto *stage = std::get_if<JobStage>(&answer);
                 if (!stage || *stage != JobStage::NotKnown)
                   return responder.send(answerResponse(job, answer));
-                Findings findings;
-                findings.add("/deadline_ms", "has passed");
-                responder.send({BadRequest, findingsJson(findings)});
+                responder.send(expiredResponse(job));
               });
 }
 
