--- a/packages/cli/src/job_commands.cpp
+++ b/packages/cli/src/job_commands.cpp
@@ -88,7 +88,10 @@
                               : Random::fromDevice().uniqueId();
   const json body = submission(arguments, key);
   const auto result =
-      call(*at, {"POST", "/v1/jobs", body.dump(), ""}, AnswerPatience);
+      call(*at,
+           {"POST", "/v1/jobs",
+            body.dump(-1, ' ', false, json::error_handler_t::replace), ""},
+           AnswerPatience);
   if (arguments.count("wait") == 0 || !isOpen(result))
     return report(*at, result);
   return waitFor(*at, body["account"].get<std::string>(), key,
--- a/packages/daemon/include/citrongap/daemon/job_json.h
+++ b/packages/daemon/include/citrongap/daemon/job_json.h
@@ -9,6 +9,8 @@
 
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace citrongap {
 
@@ -21,6 +23,13 @@
 /// `{"account":A,"key":K,"outcome":"done"|"failed"|"not_run"|"unknown",...}`.
 std::string outcomeJson(const JobId &job, const Outcome &outcome);
 
+/// `{"account":A,"key":K,MEMBER...}`, with findings when there are any. A
+/// member named `retry_after_ms` becomes a number.
+std::string
+answerJson(const JobId &job,
+           const std::vector<std::pair<std::string, std::string>> &members,
+           const Findings &findings);
+
 /// What one attempt of a job leaves with each of its servers.
 struct AttemptRecord {
   JobRequest Job;
--- a/packages/daemon/src/http_api.cpp
+++ b/packages/daemon/src/http_api.cpp
@@ -47,20 +47,25 @@
 /// since an earlier call with the key may have started it.
 HttpResponse notLookedAt(int status, const JobId &job,
                          const std::string &reason) {
-  return {
-      status,
-      fmt::format(
-          R"({{"account":"{}","key":"{}","outcome":"unknown","reason":"{}; this call started nothing","retry_after_ms":{}}})",
-          job.Account.str(), job.Key.str(), reason, RateRetryMs)};
+  return {status,
+          answerJson(job,
+                     {{"outcome", "unknown"},
+                      {"reason", reason + "; this call started nothing"},
+                      {"retry_after_ms", std::to_string(RateRetryMs)}},
+                     {})};
 }
 
 /// Nobody asked knows the key; an owner that died may have run it.
 HttpResponse expiredResponse(const JobId &job) {
-  return {
-      BadRequest,
-      fmt::format(
-          R"({{"account":"{}","key":"{}","outcome":"unknown","reason":"the deadline has passed and nothing starts; an earlier call with this key may have run","findings":[{{"place":"/deadline_ms","message":"has passed"}}]}})",
-          job.Account.str(), job.Key.str())};
+  Findings findings;
+  findings.add("/deadline_ms", "has passed");
+  return {BadRequest,
+          answerJson(job,
+                     {{"outcome", "unknown"},
+                      {"reason", "the deadline has passed and nothing "
+                                 "starts; an earlier call with this key "
+                                 "may have run"}},
+                     findings)};
 }
 
 HttpResponse stageResponse(const JobId &job, JobStage stage) {
@@ -68,11 +73,10 @@
     return errorResponse(
         Missing, "no such job is known; submit it again with the same key");
   const char *name = stage == JobStage::Running ? "running" : "waiting";
-  return {
-      Accepted,
-      fmt::format(
-          R"({{"account":"{}","key":"{}","state":"{}","ask_again":"GET /v1/jobs/{}"}})",
-          job.Account.str(), job.Key.str(), name, job.str())};
+  return {Accepted, answerJson(job,
+                               {{"state", name},
+                                {"ask_again", "GET /v1/jobs/" + job.str()}},
+                               {})};
 }
 
 HttpResponse answerResponse(const JobId &job, const JobFront::Answer &answer) {
--- a/packages/daemon/src/job_json.cpp
+++ b/packages/daemon/src/job_json.cpp
@@ -181,6 +181,21 @@
   return job;
 }
 
+std::string
+answerJson(const JobId &job,
+           const std::vector<std::pair<std::string, std::string>> &members,
+           const Findings &findings) {
+  json out{{"account", job.Account.str()}, {"key", job.Key.str()}};
+  for (const auto &[name, value] : members)
+    if (name == "retry_after_ms")
+      out[name] = std::stoll(value);
+    else
+      out[name] = value;
+  for (const auto &it : findings.items())
+    out["findings"].push_back({{"place", it.Place}, {"message", it.Message}});
+  return dump(out);
+}
+
 std::string findingsJson(const Findings &findings) {
   json items = json::array();
   for (const auto &it : findings.items())
--- a/packages/daemon/src/job_json_test.cpp
+++ b/packages/daemon/src/job_json_test.cpp
@@ -54,3 +54,11 @@
   BOOST_TEST(!read->Job.Repeatable);
   BOOST_CHECK(read->Where == record.Where);
 }
+
+BOOST_AUTO_TEST_CASE(names_with_quotes_stay_json_in_every_answer) {
+  const JobId job{ClientAccountId("a"), RequestKey("q\"x")};
+  const std::string text =
+      answerJson(job, {{"state", "waiting"}, {"retry_after_ms", "7"}}, {});
+  BOOST_TEST(text == R"({"account":"a","key":"q\"x","retry_after_ms":7,)"
+                     R"("state":"waiting"})");
+}
