Accepted jobs are recorded under their submission, as refusals are

Tests a_cancelled_submission_is_not_owed_any_more and a_key_refused_once_is_owed_when_accepted_anew failed first (daemon_test).

--- a/packages/daemon/src/ledger_claims.cpp
+++ b/packages/daemon/src/ledger_claims.cpp
@@ -162,7 +162,8 @@
                             std::function<void(Recorded)> callback) {
   const AttemptRecord record{job, "accepted", {}};
   Writer.recordAccepted(
-      {job.Id, job.Deadline, encodeAttempt(record)}, monoNow() + RecordPatience,
+      {submissionOf(job), job.Deadline, encodeAttempt(record)},
+      monoNow() + RecordPatience,
       [callback = std::move(callback)](const RecordFate &fate) {
         callback(recordedOf(fate));
       });
