--- a/testing/demo/src/callers.cpp
+++ b/testing/demo/src/callers.cpp
@@ -80,8 +80,8 @@
       const double late = 1.0 - random.unit() * random.unit();
       const auto at = begin + Millis(static_cast<std::int64_t>(
                                   late * static_cast<double>(length.count())));
-      const auto runMs =
-          static_cast<unsigned>(random.between(kind.RunMs / 2, 2 * kind.RunMs));
+      const auto runMs = static_cast<unsigned>(
+          random.between(kind.RunMs / 2, 2ULL * kind.RunMs));
       script.push_back({at, kind.Account, fmt::format("order-{}", ++n),
                         kind.Class, kind.Gang, kind.Repeatable, runMs});
     }
--- a/testing/support/src/processes.cpp
+++ b/testing/support/src/processes.cpp
@@ -21,6 +21,7 @@
                       const std::vector<std::string> &command,
                       const std::string &logPath) {
   std::vector<char *> argv;
+  argv.reserve(command.size() + 1);
   for (const auto &it : command)
     argv.push_back(const_cast<char *>(it.c_str()));
   argv.push_back(nullptr);
