--- a/packages/daemon/include/citrongap/daemon/job_front.h
+++ b/packages/daemon/include/citrongap/daemon/job_front.h
@@ -103,6 +103,8 @@
   };
 
   void addWaiter(const JobId &job, MonoTime until, AnswerCallback callback);
+  /// Nobody confirmed that the job is held: answers "unknown" a little later.
+  void answerInDoubt(std::uint64_t waiter);
   void answer(std::uint64_t waiter, const Answer &answer);
   void submitToOwner(const JobId &id);
   void onSubmitted(const JobId &id, const std::optional<JobView> &view);
--- a/packages/daemon/src/job_front.cpp
+++ b/packages/daemon/src/job_front.cpp
@@ -136,7 +136,15 @@
     const auto it = Jobs.find(job);
     if (it == Jobs.end() || (it->second.Accepted && it->second.Guarded))
       answer(id, it == Jobs.end() ? JobStage::NotKnown : it->second.Stage);
-    // Else it is answered as soon as the job is accepted or refused.
+    else
+      answerInDoubt(id);
+  });
+}
+
+void JobFront::answerInDoubt(std::uint64_t waiter) {
+  // Until then it is answered as soon as the job is accepted or refused.
+  Waiting.at(waiter).Limit = Loop.at(monoNow() + OwnerPatience, [this, waiter] {
+    answer(waiter, Outcome(Unknown{"no owner of its pod answers"}));
   });
 }
 
--- a/packages/daemon/src/job_front_test.cpp
+++ b/packages/daemon/src/job_front_test.cpp
@@ -200,3 +200,11 @@
   BOOST_REQUIRE(until([&] { return told.has_value(); }));
   BOOST_CHECK(std::get<Outcome>(*told) == Outcome(Done{"ran elsewhere"}));
 }
+
+BOOST_FIXTURE_TEST_CASE(a_call_is_answered_when_its_pod_has_no_owner, Fixture) {
+  Directory.Owner.clear();
+  Directory.View = std::nullopt;
+  submit(job(), Millis(20));
+  BOOST_REQUIRE(until([&] { return !Answers.empty(); }));
+  BOOST_CHECK(std::holds_alternative<Unknown>(std::get<Outcome>(Answers[0])));
+}
