An oversized body gets a finding like all bad input

evhttp answered 413 with a page of HTML (seen with a body of 2 MB). Bodies up to four times the limit are read and refused with a finding; larger ones are still cut off by evhttp. Test an_oversized_body_gets_a_finding.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -61,6 +61,15 @@
   }
 }
 
+/// Bodies up to so many times the limit are read and refused with a finding.
+constexpr std::size_t ReadBeyondLimit = 4;
+
+std::string tooLarge(std::size_t limit) {
+  return R"({"error":"the request was not accepted; this call started nothing",)"
+         R"("findings":[{"place":"/","message":"is larger than )" +
+         std::to_string(limit) + R"( bytes"}]})";
+}
+
 HttpRequest readRequest(evhttp_request *request) {
   HttpRequest out;
   out.Method = methodOf(request);
@@ -81,7 +90,9 @@
 HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, Handler handler)
     : Limits(limits), Handle(std::move(handler)),
       Http(evhttp_new(loop.base())) {
-  evhttp_set_max_body_size(Http, static_cast<ev_ssize_t>(Limits.MaxBodyBytes));
+  // Somewhat larger bodies are read, so that their refusal can be explained.
+  evhttp_set_max_body_size(
+      Http, static_cast<ev_ssize_t>(Limits.MaxBodyBytes * ReadBeyondLimit));
   evhttp_set_max_headers_size(Http, 16 << 10);
   evhttp_set_timeout(Http, static_cast<int>(Limits.IdleTimeout.count()));
   evhttp_set_gencb(
@@ -122,7 +133,11 @@
     responder.send({503, R"({"error":"too many connections; not run"})"});
     return;
   }
-  Handle(readRequest(request), responder);
+  const HttpRequest read = readRequest(request);
+  if (read.Body.size() > Limits.MaxBodyBytes)
+    responder.send({413, tooLarge(Limits.MaxBodyBytes)});
+  else
+    Handle(read, responder);
 }
 
 void HttpServer::onClosed(evhttp_connection *connection, void *arg) {
--- a/packages/net/src/http_test.cpp
+++ b/packages/net/src/http_test.cpp
@@ -147,3 +147,24 @@
            Millis(1000));
   BOOST_TEST(handled == 0);
 }
+
+BOOST_AUTO_TEST_CASE(an_oversized_body_gets_a_finding) {
+  EventLoop loop;
+  int handled = 0;
+  HttpLimits limits;
+  limits.MaxBodyBytes = 100;
+  HttpServer server(loop, limits,
+                    [&](const HttpRequest &, const HttpResponder &responder) {
+                      ++handled;
+                      responder.send({200, ""});
+                    });
+  BOOST_REQUIRE(server.listen(Server));
+  HttpClient client(loop, "");
+  const auto result = callOnce(
+      loop, client, {"POST", "/", std::string(200, 'x'), ""}, Millis(1000));
+  BOOST_REQUIRE(std::holds_alternative<HttpResponse>(result));
+  BOOST_TEST(std::get<HttpResponse>(result).Status == 413);
+  BOOST_TEST(std::get<HttpResponse>(result).Body.find("findings") !=
+             std::string::npos);
+  BOOST_TEST(handled == 0);
+}
