Read-through: one name table of member states, state that nobody read, a call made twice

toString(MemberState) serves status and membership; OwnedJob.Stage was written and never read (view() derives the stage); checkOwnership told the broker of new owners twice; the head comment of pod_owner.cpp named the wrong file. No behaviour changes. peer_test, daemon_test, net_test and the scenarios steady, drain_under_load and owner_dies pass.

--- a/packages/daemon/include/citrongap/daemon/pod_owner.h
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -80,7 +80,6 @@
     std::set<EntryVmId> Fronts;
     /// Submissions that share this outcome.
     std::set<std::string> Submissions;
-    JobStage Stage = JobStage::Waiting;
     /// Set when ended.
     std::optional<Outcome> Ended;
     std::unique_ptr<GangRun> Run;
--- a/packages/daemon/src/node.cpp
+++ b/packages/daemon/src/node.cpp
@@ -169,7 +169,6 @@
     Owner.activate({});
     Front.onOwnersChanged();
     Broker.onOwnersChanged();
-    Broker.onOwnersChanged();
   }
 }
 
--- a/packages/daemon/src/node_status.cpp
+++ b/packages/daemon/src/node_status.cpp
@@ -24,26 +24,12 @@
   return it.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-const char *nameOf(MemberState it) {
-  switch (it) {
-  case MemberState::Alive:
-    return "alive";
-  case MemberState::Suspect:
-    return "suspect";
-  case MemberState::Dead:
-    return "dead";
-  case MemberState::Leaving:
-    return "leaving";
-  }
-  return "unknown";
-}
-
 json membersJson(const std::vector<Member> &members) {
   json out = json::array();
   for (const auto &it : members)
     out.push_back({{"id", it.Id.str()},
                    {"data_centre", it.DataCentre.str()},
-                   {"state", nameOf(it.State)},
+                   {"state", toString(it.State)},
                    {"revision", it.InForce.value()}});
   return out;
 }
--- a/packages/daemon/src/pod_owner.cpp
+++ b/packages/daemon/src/pod_owner.cpp
@@ -1,5 +1,5 @@
-// Ownership of a pod: leases, recovery, decisions. How jobs end is in
-// pod_owner_jobs.cpp.
+// Ownership of a pod: leases, recovery, decisions. Its jobs are in
+// pod_owner_jobs.cpp, how they end in pod_owner_ends.cpp.
 #include "citrongap/daemon/pod_owner.h"
 
 #include "citrongap/base/log.h"
@@ -226,7 +226,6 @@
     return;
   }
   LogLine("adopting {} attempt {}", job.Id.str(), found.Record.Attempt);
-  owned.Stage = JobStage::Running;
   owned.At = Pod;
   Attempts[found.Record.Attempt] = job.Id;
   owned.Run = makeRun(found.Record);
--- a/packages/daemon/src/pod_owner_ends.cpp
+++ b/packages/daemon/src/pod_owner_ends.cpp
@@ -30,7 +30,6 @@
   owned.EndedAttempts.push_back(owned.Run->record().Attempt);
   Finished.push_back(std::move(owned.Run));
   owned.Run = nullptr;
-  owned.Stage = JobStage::Waiting;
   poke();
   if (end.Succeeded) {
     Scheduler->jobEnded(id, {true, end.RanMs, {}}, monoNow());
@@ -92,7 +91,6 @@
     return;
   OwnedJob &owned = it->second;
   owned.Ended = outcome;
-  owned.Stage = JobStage::Ended;
   // Until every front was told, callers of this process see it as open.
   Untold[id] = owned.Fronts;
   // Only "not run" waits for the log: the log must not bring the job back.
--- a/packages/daemon/src/pod_owner_jobs.cpp
+++ b/packages/daemon/src/pod_owner_jobs.cpp
@@ -176,7 +176,6 @@
 
 void PodOwner::startRun(OwnedJob &owned, const Placement &where) {
   const AttemptRecord record{owned.Job, Ids.uniqueId(), where};
-  owned.Stage = JobStage::Running;
   ++owned.Attempts;
   Attempts[record.Attempt] = owned.Job.Id;
   owned.Run = makeRun(record);
--- a/packages/peer/include/citrongap/peer/member.h
+++ b/packages/peer/include/citrongap/peer/member.h
@@ -14,6 +14,9 @@
 /// deadline passes without a sign of life.
 enum class MemberState : std::uint8_t { Alive, Suspect, Dead, Leaving };
 
+/// "alive", "suspect", "dead" or "leaving".
+const char *toString(MemberState state);
+
 struct Member {
   EntryVmId Id;
   DataCentreId DataCentre;
--- a/packages/peer/src/swim_membership.cpp
+++ b/packages/peer/src/swim_membership.cpp
@@ -18,20 +18,6 @@
   return self;
 }
 
-const char *name(MemberState state) {
-  switch (state) {
-  case MemberState::Alive:
-    return "alive";
-  case MemberState::Suspect:
-    return "suspect";
-  case MemberState::Dead:
-    return "dead";
-  case MemberState::Leaving:
-    return "leaving";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 SwimMembership::SwimMembership(EventLoop &loop, Member self, Random seed,
@@ -78,7 +64,7 @@
   for (const SwimChange &it : State.takeChanges()) {
     if (!it.RevisionOnly)
       PeerLog("{} is {}, incarnation {}", it.About.Id.str(),
-              name(it.About.State), it.About.Incarnation);
+              toString(it.About.State), it.About.Incarnation);
     Changed.emit(it.About);
   }
 }
