--- a/packages/daemon/src/pod_owner.cpp
+++ b/packages/daemon/src/pod_owner.cpp
@@ -169,7 +169,7 @@
   if (EndedAttempts.contains(attempt))
     return;
   const auto record = decodeAttempt(state.Request);
-  if (!record) {
+  if (!record || state.Part >= record->Where.Parts.size()) {
     LogLine("server {} holds task {} of an unreadable request", server.str(),
             state.Task.str());
     return;
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -441,3 +441,26 @@
   BOOST_CHECK(site.endedAs<Done>(job));
   BOOST_TEST(site.Servers.releases(job.Id) == 2U);
 }
+
+BOOST_AUTO_TEST_CASE(a_task_whose_part_its_record_lacks_is_left_alone) {
+  Fixture site(1);
+  BOOST_REQUIRE(site.until([&] { return !site.Owner->recovering(); }));
+  const HandOverPod message = site.Owner->handOver();
+  const auto job = Fixture::job("k", 1);
+  const AttemptRecord record{job, "attempt", {{{BackendServerId("s0"), {0}}}}};
+  const PrepareTask task{TaskId("attempt-7"),   job.Id,      7,          8, {0},
+                         encodeAttempt(record), Millis(300), Millis(900)};
+  bool prepared = false;
+  site.Servers.prepare(
+      site.Servers.list()[0].Address, message.Leases[0].second, task,
+      monoNow() + Millis(1000), [&](const PortResult<std::monostate> &result) {
+        prepared = std::holds_alternative<std::monostate>(result);
+      });
+  BOOST_REQUIRE(site.until([&] { return prepared; }));
+  auto successor = site.makeOwner("owner-2");
+  successor->configure(Fixture::lists());
+  successor->setServers(site.Servers.list());
+  successor->activate({message.Leases.begin(), message.Leases.end()});
+  BOOST_TEST(site.until([&] { return !successor->recovering(); }));
+  BOOST_CHECK(successor->view(job.Id).Stage == JobStage::NotKnown);
+}
