--- /dev/null
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -0,0 +1,86 @@
+// One entry VM: answers callers from the board, follows the configuration, and
+// owns the pod while the group says so. Outside systems come in as ports and
+// readers.
+#ifndef CITRONGAP_CONTROL_ENTRY_NODE_H
+#define CITRONGAP_CONTROL_ENTRY_NODE_H
+
+#include "citrongap/control/pod_controller.h"
+#include "citrongap/control/request_front.h"
+#include "citrongap/store/owner_election.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace citrongap {
+
+struct EntryNodeSettings {
+  EntryVmId Self;
+  /// Distinguishes the lives of one entry VM in the store.
+  std::string LifeId;
+  TopicId Jobs{"keyed.jobs"};
+  TopicId Configuration;
+  std::string ConfigurationKey;
+  TopicId Servers;
+  FrontTerms Front;
+  ControllerTerms Controller;
+  ElectionTerms Election;
+  AppenderTerms Appender;
+  /// Between reads of the jobs by an entry VM that is not the owner; batches
+  /// the records of several appends.
+  Millis FollowerSpacing{120};
+  /// A long poll of the store; its end shows that nothing was missed.
+  Millis FollowWait{1000};
+};
+
+struct SiteReaders {
+  ReadSubmission Submission;
+  ReadServerEntry Server;
+  std::function<Checked<SiteConfiguration>(const std::string &)> Configuration;
+};
+
+class EntryNode {
+public:
+  EntryNode(EventLoop &loop, StorePort &store, FleetPort &fleet, EventLog &log,
+            EntryNodeSettings settings, SiteReaders readers);
+
+  void start();
+  void handle(const CallerRequest &request, const RequestFront::Reply &reply);
+  /// New connections may come here.
+  bool ready() const;
+  /// Hands the pod over and becomes not ready; open requests go on.
+  void drain();
+  std::size_t openRequests() const { return Front.open(); }
+  std::size_t maxBodyBytes() const;
+  /// Counters and histograms as text.
+  std::string metrics() const;
+
+private:
+  void onConfiguration(const KeyedRecord &record);
+  void onOwnership(bool holds);
+  void watch(TopicTail &tail, const char *topic);
+  TailTerms followTerms() const;
+
+  EventLoop &Loop;
+  EventLog &Log;
+  EntryNodeSettings Settings;
+  SiteReaders Readers;
+  WorkBoard Board;
+  TopicTail JobsTail;
+  TopicTail ConfigurationTail;
+  BatchAppender FrontAppender;
+  RequestFront Front;
+  PodController Controller;
+  OwnerElection Election;
+  bool Draining = false;
+  std::map<std::string, std::uint64_t> Answers;
+  /// Upper bounds of the latency histogram, in milliseconds.
+  static constexpr std::array<std::int64_t, 8> Bounds{5,   10,  25,   50,
+                                                      100, 250, 1000, 3000};
+  std::array<std::uint64_t, Bounds.size() + 1> Latencies{};
+};
+
+} // namespace citrongap
+
+#endif // CITRONGAP_CONTROL_ENTRY_NODE_H
--- /dev/null
+++ b/packages/control/include/citrongap/control/request_front.h
@@ -0,0 +1,143 @@
+// Answers callers on one entry VM: submissions are stored before they are
+// accepted, states are read from the board. A refusal is true: nothing of the
+// request was stored, and nothing will be.
+#ifndef CITRONGAP_CONTROL_REQUEST_FRONT_H
+#define CITRONGAP_CONTROL_REQUEST_FRONT_H
+
+#include "citrongap/base/event_log.h"
+#include "citrongap/control/site_configuration.h"
+#include "citrongap/control/work_board.h"
+#include "citrongap/net/event_loop.h"
+#include "citrongap/store/batch_appender.h"
+#include "citrongap/store/topic_tail.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace citrongap {
+
+enum class CallerVerb : std::uint8_t { Submit, Query, Cancel };
+
+struct CallerRequest {
+  CallerVerb Verb = CallerVerb::Query;
+  std::string Host;
+  /// Path without query.
+  std::string Path;
+  std::string ApiKey;
+  std::string Body;
+  /// Until when the caller waits.
+  MonoTime Deadline;
+};
+
+struct AnswerAccepted {};
+struct AnswerCancelled {};
+struct AnswerState {
+  WorkPhase Phase = WorkPhase::Queued;
+};
+struct AnswerWaiting {
+  std::size_t Jobs = 0;
+};
+struct AnswerNoJob {};
+struct AnswerNoQueue {};
+struct AnswerUnauthorized {};
+/// It was not run and will not be, by this request.
+struct AnswerNotRun {
+  std::string Reason;
+  Millis RetryAfter{1000};
+};
+/// Whether it was stored is not known; the caller may ask again.
+struct AnswerUnknown {
+  std::string Reason;
+};
+struct AnswerInvalid {
+  Findings What;
+};
+
+using CallerAnswer =
+    std::variant<AnswerAccepted, AnswerCancelled, AnswerState, AnswerWaiting,
+                 AnswerNoJob, AnswerNoQueue, AnswerUnauthorized, AnswerNotRun,
+                 AnswerUnknown, AnswerInvalid>;
+/// A short word for logs and counters.
+const char *describe(const CallerAnswer &answer);
+
+struct FrontTerms {
+  /// Answers about unknown jobs and keys are given only when the board and the
+  /// configuration were read to the end within this time.
+  Millis FreshWithin{2000};
+  /// With an older configuration nothing is answered; the platform's bound on
+  /// applying a change, with the store disturbed.
+  Millis ConfigurationUsable{6000};
+  /// Before the caller's deadline, so that the answer still arrives.
+  Millis AnswerMargin{250};
+  /// Waiting jobs of an account in one queue, at the most.
+  std::size_t MaxWaitingPerAccount = 2000;
+};
+
+/// Reads the body of a submission.
+using ReadSubmission = std::function<Checked<WorkSpec>(const std::string &)>;
+
+class RequestFront {
+public:
+  using Reply = std::function<void(const CallerAnswer &)>;
+
+  RequestFront(EventLoop &loop, WorkBoard &board, TopicTail &jobsTail,
+               TopicTail &configurationTail, BatchAppender &appender,
+               EventLog &log, ReadSubmission readSubmission, FrontTerms terms);
+
+  /// Replies exactly once.
+  void handle(const CallerRequest &request, const Reply &reply);
+  void setConfiguration(SiteConfiguration configuration);
+  bool configured() const { return Configuration.has_value(); }
+  const SiteConfiguration *configuration() const {
+    return Configuration ? &*Configuration : nullptr;
+  }
+  /// Requests that wait for the store.
+  std::size_t open() const { return Pending.size(); }
+  /// The store was reached of late.
+  bool connected() const;
+
+private:
+  struct Waiting {
+    Reply Answer;
+    std::uint64_t Ticket = 0;
+    Timer GiveUp;
+  };
+
+  void submit(const CallerRequest &request, const QueueRules &queue,
+              const ClientAccountId &account, const WorkId &id,
+              const Reply &reply);
+  void query(const QueueRules &queue, const ClientAccountId &account,
+             const WorkId &id, const Reply &reply);
+  void cancel(const CallerRequest &request, const ClientAccountId &account,
+              const WorkId &id, const Reply &reply);
+  /// The job, if it is known and the account may see it.
+  const BoardEntry *visible(const WorkId &id,
+                            const ClientAccountId &account) const;
+  /// "No such job" if that is certain, else "not run".
+  CallerAnswer noJob() const;
+  void store(std::vector<KeyedRecord> records, MonoTime deadline,
+             const Reply &reply, std::function<CallerAnswer()> onStored);
+  void finish(std::uint64_t id, const CallerAnswer &answer);
+  bool fresh(const TopicTail &tail, Millis within) const;
+
+  EventLoop &Loop;
+  WorkBoard &Board;
+  TopicTail &JobsTail;
+  TopicTail &ConfigurationTail;
+  BatchAppender &Appender;
+  EventLog &Log;
+  ReadSubmission Read;
+  FrontTerms Terms;
+  std::optional<SiteConfiguration> Configuration;
+  /// Requests whose records are on their way to the store.
+  std::map<std::uint64_t, Waiting> Pending;
+  std::uint64_t NextPending = 1;
+};
+
+} // namespace citrongap
+
+#endif // CITRONGAP_CONTROL_REQUEST_FRONT_H
--- /dev/null
+++ b/packages/control/src/entry_node.cpp
@@ -0,0 +1,146 @@
+// Wires the parts of an entry VM.
+#include "citrongap/control/entry_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citrongap {
+
+namespace {
+
+/// All entry VMs of the site are members of one group.
+constexpr const char *OwnersGroup = "owners";
+/// After a store said that a newer owner exists, joins settle who it is.
+constexpr Epoch FirstEpoch{1};
+
+} // namespace
+
+TailTerms EntryNode::followTerms() const {
+  TailTerms terms;
+  terms.Wait = Settings.FollowWait;
+  return terms;
+}
+
+EntryNode::EntryNode(EventLoop &loop, StorePort &store, FleetPort &fleet,
+                     EventLog &log, EntryNodeSettings settings,
+                     SiteReaders readers)
+    : Loop(loop), Log(log), Settings(std::move(settings)),
+      Readers(std::move(readers)), Board(log),
+      JobsTail(
+          loop, store, Settings.Jobs, followTerms(),
+          [this](const KeyedRecord &it) { Board.apply(it); },
+          [this] { Controller.onTailAt(JobsTail.next()); }),
+      ConfigurationTail(
+          loop, store, Settings.Configuration, followTerms(),
+          [this](const KeyedRecord &it) { onConfiguration(it); }, [] {}),
+      FrontAppender(loop, store, Settings.Jobs,
+                    Settings.Self.str() + "/" + Settings.LifeId, FirstEpoch,
+                    Settings.Appender),
+      Front(loop, Board, JobsTail, ConfigurationTail, FrontAppender, log,
+            Readers.Submission, Settings.Front),
+      Controller(loop, store, fleet, Board, JobsTail, log, Settings.Jobs,
+                 Settings.Servers, Readers.Server, Settings.Controller),
+      Election(loop, store, OwnersGroup,
+               Settings.Self.str() + "/" + Settings.LifeId, Settings.Jobs,
+               Settings.Election) {
+  Board.OnNews = [this](const WorkId &id) { Controller.onNews(id); };
+  Election.OnChange = [this](bool holds) { onOwnership(holds); };
+  FrontAppender.OnRetry = [this](const std::string &why) {
+    Log("store", "append_retry", "why=\"{}\"", why);
+  };
+  watch(JobsTail, "jobs");
+  watch(ConfigurationTail, "configuration");
+}
+
+void EntryNode::watch(TopicTail &tail, const char *topic) {
+  tail.OnHealth = [this, topic](bool works, const std::string &reason) {
+    Log("store", works ? "regained" : "lost", "topic={} why=\"{}\"", topic,
+        reason);
+  };
+}
+
+void EntryNode::start() {
+  JobsTail.setSpacing(Settings.FollowerSpacing);
+  ConfigurationTail.start();
+  JobsTail.start();
+  Election.start();
+}
+
+void EntryNode::onConfiguration(const KeyedRecord &record) {
+  if (record.Key != Settings.ConfigurationKey || !record.Value)
+    return;
+  auto read = Readers.Configuration(*record.Value);
+  auto *configuration = std::get_if<SiteConfiguration>(&read);
+  if (!configuration) {
+    Log("configuration", "ignored", "why=\"{}\"",
+        std::get<Findings>(read).text());
+    return;
+  }
+  const SiteConfiguration *old = Front.configuration();
+  if (old && configuration->InForce <= old->InForce)
+    return;
+  Log("configuration", "in_force", "revision={} queues={} accounts={} keys={}",
+      configuration->InForce.value(), configuration->Queues.size(),
+      configuration->Accounts.size(), configuration->AccountByKey.size());
+  Controller.setGuarantees(configuration->guarantees());
+  Front.setConfiguration(std::move(*configuration));
+}
+
+void EntryNode::onOwnership(bool holds) {
+  Log("owner", holds ? "elected" : "not_owner", "generation={}",
+      Election.generation().value());
+  JobsTail.setSpacing(holds ? Millis(0) : Settings.FollowerSpacing);
+  if (!holds)
+    Controller.stepDown("the group gave the pod to another member");
+  else if (!Controller.owns())
+    Controller.takeOver(Election.generation());
+}
+
+void EntryNode::handle(const CallerRequest &request,
+                       const RequestFront::Reply &reply) {
+  const MonoTime came = monoNow();
+  Front.handle(request, [this, came, reply](const CallerAnswer &answer) {
+    ++Answers[describe(answer)];
+    const auto took = (monoNow() - came).count();
+    const auto bucket = std::lower_bound(Bounds.begin(), Bounds.end(), took);
+    ++Latencies[static_cast<std::size_t>(bucket - Bounds.begin())];
+    reply(answer);
+  });
+}
+
+bool EntryNode::ready() const { return !Draining && Front.connected(); }
+
+void EntryNode::drain() {
+  if (std::exchange(Draining, true))
+    return;
+  Log("node", "draining", "open={}", Front.open());
+  Controller.stepDown("this entry VM is leaving");
+  Election.leave();
+}
+
+std::size_t EntryNode::maxBodyBytes() const {
+  constexpr std::size_t BeforeConfiguration = 262144;
+  const SiteConfiguration *it = Front.configuration();
+  return it ? it->MaxBodyBytes : BeforeConfiguration;
+}
+
+std::string EntryNode::metrics() const {
+  std::string out;
+  for (const auto &[answer, count] : Answers)
+    out += fmt::format("citrongap_answers_total{{answer=\"{}\"}} {}\n", answer,
+                       count);
+  std::uint64_t sum = 0;
+  for (std::size_t n = 0; n < Latencies.size(); ++n) {
+    sum += Latencies[n];
+    const std::string bound =
+        n < Bounds.size() ? fmt::format("{}", Bounds[n]) : "+Inf";
+    out +=
+        fmt::format("citrongap_answer_ms_bucket{{le=\"{}\"}} {}\n", bound, sum);
+  }
+  out += fmt::format("citrongap_jobs {}\n", Board.all().size());
+  out += fmt::format("citrongap_owner {}\n", Controller.active() ? 1 : 0);
+  out += fmt::format("citrongap_log_lines_dropped_total {}\n", Log.dropped());
+  return out;
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/control/src/entry_node_test.cpp
@@ -0,0 +1,274 @@
+// Entry VMs over one store and one fleet: answers are true, work runs once,
+// and a successor goes on, under lost answers, dead owners and a store that
+// refuses some of them.
+#include "citrongap/control/entry_node.h"
+#include "citrongap/store/memory_store.h"
+#include "fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+
+using namespace citrongap;
+
+namespace {
+
+const TopicId Configuration("configuration");
+const TopicId Servers("servers");
+const std::string Key = "key-1";
+
+Checked<SiteConfiguration> readConfiguration(const std::string &value) {
+  SiteConfiguration out;
+  out.InForce = Revision(std::stoul(value));
+  QueueRules queue;
+  queue.Id = QueueId("q");
+  queue.Host = "host";
+  queue.PathPrefix = "/q/";
+  queue.Service = "render";
+  queue.Priority = 1;
+  queue.MaxAttempts = 2;
+  out.Queues.push_back(queue);
+  out.Accounts[ClientAccountId("quetta")] = {ClientAccountId("quetta"), 8};
+  // The key is taken away with revision 2.
+  if (out.InForce < Revision(2))
+    out.AccountByKey[Key] = ClientAccountId("quetta");
+  return out;
+}
+
+Checked<ServerEntry> readServer(const KeyedRecord &record) {
+  ServerEntry entry;
+  entry.Life = {BackendServerId(record.Key), 1};
+  entry.Service = "render";
+  entry.Rack = RackId("r1");
+  entry.Capacity = {128000, 512000, 8};
+  entry.Draining = record.Value == "draining";
+  return entry;
+}
+
+Checked<WorkSpec> readSubmission(const std::string &body) {
+  Findings findings;
+  if (body == "bad")
+    findings.add("/", "bad");
+  if (!findings.empty())
+    return findings;
+  WorkSpec spec;
+  spec.Payload = body;
+  StepSpec step;
+  step.Needs = {1000, 1000, 8};
+  spec.Steps.push_back(step);
+  return spec;
+}
+
+struct Site {
+  EventLoop Loop;
+  MemoryStore Store{Loop};
+  FakeFleet Fleet{Loop};
+  EventLog Log{"test", -1};
+
+  struct Vm {
+    Vm(Site &site, const std::string &id)
+        : View(site.Store),
+          Node(site.Loop, View, site.Fleet, site.Log, settings(id),
+               {readSubmission, readServer, readConfiguration}) {
+      Node.start();
+    }
+    static EntryNodeSettings settings(const std::string &id) {
+      EntryNodeSettings out;
+      out.Self = EntryVmId(id);
+      out.LifeId = "1";
+      out.Configuration = Configuration;
+      out.ConfigurationKey = "config";
+      out.Servers = Servers;
+      out.FollowWait = Millis(30);
+      out.FollowerSpacing = Millis(5);
+      out.Front.FreshWithin = Millis(200);
+      out.Front.ConfigurationUsable = Millis(400);
+      out.Front.AnswerMargin = Millis(20);
+      out.Election = {Millis(150), Millis(30), Millis(40), Millis(10)};
+      out.Appender.AnswerWithin = Millis(40);
+      out.Appender.RetryAfter = Millis(10);
+      out.Controller.Appender = out.Appender;
+      out.Controller.TickEvery = Millis(10);
+      out.Controller.ServerListEvery = Millis(20);
+      out.Controller.OwnershipLapse = Millis(150);
+      out.Controller.Link.AnswerWithin = Millis(40);
+      out.Controller.Link.RetryAfter = Millis(10);
+      out.Controller.Link.MaxLease = Millis(300);
+      out.Controller.Link.LapseMargin = Millis(20);
+      return out;
+    }
+    MemoryStoreView View;
+    EntryNode Node;
+  };
+
+  std::map<std::string, std::unique_ptr<Vm>> Vms;
+
+  Site() {
+    Store.put(Configuration, {"config", "1"});
+    Store.put(Servers, {"i-1", "ready"});
+    add("vm-1");
+    runFor(Millis(30));
+    add("vm-2");
+    runFor(Millis(60));
+  }
+  void add(const std::string &id) { Vms[id] = std::make_unique<Vm>(*this, id); }
+  void kill(const std::string &id) {
+    Vms.erase(id);
+    Store.lapse(id + "/1");
+  }
+  void runFor(Millis span) { Loop.runUntil(monoNow() + span); }
+
+  /// The answer's word, or "none".
+  std::string call(const std::string &vm, CallerVerb verb, const WorkId &id,
+                   const std::string &body = "x",
+                   const std::string &key = Key) {
+    auto answer = std::make_shared<std::string>("none");
+    CallerRequest request;
+    request.Verb = verb;
+    request.Host = "host:80";
+    request.Path = "/q/" + id.str();
+    request.ApiKey = key;
+    request.Body = body;
+    request.Deadline = monoNow() + Millis(150);
+    Vms.at(vm)->Node.handle(request, [answer](const CallerAnswer &it) {
+      *answer = describe(it);
+      if (const auto *state = std::get_if<AnswerState>(&it))
+        *answer = describe(state->Phase);
+    });
+    for (int n = 0; n < 25 && *answer == "none"; ++n)
+      runFor(Millis(10));
+    return *answer;
+  }
+  std::string submit(const std::string &vm) {
+    return call(vm, CallerVerb::Submit, Job);
+  }
+  std::string state(const std::string &vm) {
+    return call(vm, CallerVerb::Query, Job);
+  }
+
+  WorkId Job{"5c0e7a21d94b36f8"};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(entry_node, Site)
+
+BOOST_AUTO_TEST_CASE(job_handed_in_anywhere_runs_once_and_is_known_everywhere) {
+  BOOST_TEST(submit("vm-2") == "accepted");
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_TEST(Fleet.started() == 1U);
+  BOOST_TEST(state("vm-2") == "running");
+  Fleet.end("i-1", Fleet.anyRun().second, RunEnding::Done);
+  runFor(Millis(100));
+  BOOST_TEST(state("vm-1") == "completed");
+  BOOST_TEST(state("vm-2") == "completed");
+  BOOST_TEST(Fleet.at("i-1").Ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(successor_of_a_dead_owner_does_not_start_the_task_again) {
+  BOOST_TEST(submit("vm-2") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.started() == 1U);
+  kill("vm-1");
+  runFor(Millis(200));
+  BOOST_TEST(Fleet.started() == 1U);
+  Fleet.end("i-1", Fleet.anyRun().second, RunEnding::Done);
+  runFor(Millis(150));
+  BOOST_TEST(state("vm-2") == "completed");
+}
+
+BOOST_AUTO_TEST_CASE(start_whose_answer_is_lost_runs_once) {
+  Fleet.at("i-1").LoseAnswers = true;
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(100));
+  Fleet.at("i-1").LoseAnswers = false;
+  runFor(Millis(150));
+  BOOST_TEST(Fleet.started() == 1U);
+  BOOST_TEST(Fleet.running() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(end_seen_by_a_dead_owner_is_still_told_to_the_successor) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  // The owner can't record the end, so the server must keep it.
+  Vms.at("vm-1")->View.Faults.Silent = true;
+  Fleet.end("i-1", Fleet.anyRun().second, RunEnding::Done);
+  runFor(Millis(50));
+  BOOST_TEST(Fleet.at("i-1").Ended.size() == 1U);
+  kill("vm-1");
+  runFor(Millis(250));
+  BOOST_TEST(state("vm-2") == "completed");
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_starts_before_its_record_is_stored) {
+  BOOST_TEST(submit("vm-2") == "accepted");
+  Vms.at("vm-1")->View.Faults.Silent = true;
+  runFor(Millis(100));
+  const std::size_t records = Store.size(TopicId("keyed.jobs"));
+  BOOST_TEST((Fleet.started() == 0U || records >= 2U));
+}
+
+BOOST_AUTO_TEST_CASE(submission_without_a_store_is_refused_as_not_run) {
+  Vms.at("vm-2")->View.Faults.Busy = true;
+  const std::string answer = submit("vm-2");
+  BOOST_TEST((answer == "not_run" || answer == "unknown"));
+  runFor(Millis(600));
+  BOOST_TEST(submit("vm-2") == "not_run");
+  BOOST_TEST(!Vms.at("vm-2")->Node.ready());
+  if (answer == "not_run")
+    BOOST_TEST(Fleet.started() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_job_stops_and_says_so_everywhere) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_TEST(call("vm-2", CallerVerb::Cancel, Job) == "cancelled");
+  runFor(Millis(100));
+  BOOST_TEST(Fleet.running() == 0U);
+  BOOST_TEST(state("vm-1") == "cancelled");
+}
+
+BOOST_AUTO_TEST_CASE(revoked_key_and_unknown_queue_are_told_apart) {
+  BOOST_TEST(call("vm-1", CallerVerb::Query, Job) == "no_job");
+  BOOST_TEST(call("vm-1", CallerVerb::Query, Job, "x", "other") ==
+             "unauthorized");
+  Store.put(Configuration, {"config", "2"});
+  runFor(Millis(60));
+  BOOST_TEST(submit("vm-1") == "unauthorized");
+  BOOST_TEST(call("vm-1", CallerVerb::Submit, WorkId("short")) ==
+             "unauthorized");
+}
+
+BOOST_AUTO_TEST_CASE(older_configuration_never_returns) {
+  Store.put(Configuration, {"config", "2"});
+  runFor(Millis(60));
+  Store.put(Configuration, {"config", "1"});
+  runFor(Millis(60));
+  BOOST_TEST(submit("vm-2") == "unauthorized");
+}
+
+BOOST_AUTO_TEST_CASE(owner_that_leaves_hands_over_and_cuts_nothing) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  Vms.at("vm-1")->Node.drain();
+  BOOST_TEST(!Vms.at("vm-1")->Node.ready());
+  runFor(Millis(150));
+  BOOST_TEST(Fleet.started() == 1U);
+  BOOST_TEST(call("vm-1", CallerVerb::Submit, WorkId("00000000000000aa")) ==
+             "accepted");
+  Fleet.end("i-1", Fleet.anyRun().second, RunEnding::Done);
+  runFor(Millis(150));
+  BOOST_TEST(state("vm-1") == "completed");
+  BOOST_TEST(Fleet.started() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(draining_server_gets_no_new_work) {
+  Store.put(Servers, {"i-1", "draining"});
+  runFor(Millis(80));
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(100));
+  BOOST_TEST(Fleet.started() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/control/src/fake_fleet.cpp
@@ -0,0 +1,125 @@
+// Backend servers in memory for tests of the owner.
+#include "fake_fleet.h"
+
+#include <algorithm>
+
+namespace citrongap {
+
+namespace {
+
+constexpr ServerClockMs Clock = 5000;
+/// A poll that finds nothing is answered after this, not its whole wait.
+constexpr Millis PollPause{10};
+
+} // namespace
+
+template <typename T>
+void FakeFleet::answer(const Server &from, FleetCallback<T> done,
+                       FleetResult<T> result, MonoTime deadline) {
+  const bool lost = from.Silent || from.LoseAnswers;
+  MonoTime when = lost ? deadline : monoNow();
+  if constexpr (std::is_same_v<T, PollAnswer>)
+    if (!lost)
+      when += PollPause;
+  FleetResult<T> told =
+      lost ? FleetResult<T>(FleetError(ServerSilent{"lost"})) : result;
+  Soon.push_back(Loop.at(when, [done, told] { done(told); }));
+}
+
+void FakeFleet::end(const std::string &id, const TaskName &task,
+                    RunEnding how) {
+  Server &it = at(id);
+  const auto run = it.Running.find(task);
+  if (run == it.Running.end())
+    return;
+  it.Ended.push_back({it.NextEnd++, task, run->second, how, ""});
+  it.Running.erase(run);
+}
+
+std::size_t FakeFleet::started() const {
+  std::size_t n = 0;
+  for (const auto &[id, it] : Servers)
+    n += it.Started.size();
+  return n;
+}
+
+std::size_t FakeFleet::running() const {
+  std::size_t n = 0;
+  for (const auto &[id, it] : Servers)
+    n += it.Running.size();
+  return n;
+}
+
+std::pair<std::string, TaskName> FakeFleet::anyRun() const {
+  for (const auto &[id, it] : Servers)
+    if (!it.Running.empty())
+      return {id.str(), it.Running.begin()->first};
+  return {};
+}
+
+void FakeFleet::start(const Endpoint &, const StartOrder &order, ServerClockMs,
+                      Epoch token, MonoTime deadline,
+                      FleetCallback<OrderDone> done) {
+  Server &it = Servers[order.Server.Id];
+  if (!it.Silent && token < it.Token) {
+    answer<OrderDone>(it, done, FleetError(ServerFenced{}), deadline);
+    return;
+  }
+  if (!it.Silent) {
+    it.Token = token;
+    const bool barred =
+        it.Barred.contains(order.Task) && order.Run <= it.Barred[order.Task];
+    const bool here = it.Running.contains(order.Task);
+    if (barred) {
+      answer<OrderDone>(it, done,
+                        FleetError(OrderRefused{StartRefusal::RunTooOld, ""}),
+                        deadline);
+      return;
+    }
+    if (!here) {
+      it.Running[order.Task] = order.Run;
+      it.Started.emplace_back(order.Task, order.Run);
+    }
+  }
+  answer<OrderDone>(it, done, OrderDone{Clock}, deadline);
+}
+
+void FakeFleet::stop(const Endpoint &, const StopOrder &order, Epoch token,
+                     MonoTime deadline, FleetCallback<OrderDone> done) {
+  Server &it = Servers[order.Server.Id];
+  if (!it.Silent && token < it.Token) {
+    answer<OrderDone>(it, done, FleetError(ServerFenced{}), deadline);
+    return;
+  }
+  if (!it.Silent) {
+    it.Token = token;
+    it.Barred[order.Task] = order.Run;
+    end(order.Server.Id.str(), order.Task, RunEnding::Stopped);
+  }
+  answer<OrderDone>(it, done, OrderDone{Clock}, deadline);
+}
+
+void FakeFleet::poll(const Endpoint &, const ServerLife &life,
+                     const PollRequest &request, Epoch token, MonoTime deadline,
+                     FleetCallback<PollAnswer> done) {
+  Server &it = Servers[life.Id];
+  if (!it.Silent && token < it.Token) {
+    answer<PollAnswer>(it, done, FleetError(ServerFenced{}), deadline);
+    return;
+  }
+  PollAnswer out;
+  out.Clock = Clock;
+  out.BornMs = Born.value_or(life.BornMs);
+  if (!it.Silent) {
+    it.Token = token;
+    std::erase_if(it.Ended, [&](const ListedEnd &n) {
+      return n.Number <= request.RecordedUpTo;
+    });
+    for (const auto &[task, run] : it.Running)
+      out.Running.push_back({task, run, "", 1});
+    out.Ended = it.Ended;
+  }
+  answer<PollAnswer>(it, done, std::move(out), deadline);
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/control/src/fake_fleet.h
@@ -0,0 +1,68 @@
+// Backend servers in memory: fencing, leases left aside, runs that end when the
+// test says so, and faults on the way.
+#ifndef CITRONGAP_CONTROL_FAKE_FLEET_H
+#define CITRONGAP_CONTROL_FAKE_FLEET_H
+
+#include "citrongap/control/fleet_port.h"
+#include "citrongap/net/event_loop.h"
+
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace citrongap {
+
+class FakeFleet : public FleetPort {
+public:
+  explicit FakeFleet(EventLoop &loop) : Loop(loop) {}
+
+  struct Server {
+    Epoch Token;
+    std::map<TaskName, std::uint32_t> Running;
+    std::vector<ListedEnd> Ended;
+    std::uint64_t NextEnd = 1;
+    /// Starts that were carried out, in order.
+    std::vector<std::pair<TaskName, std::uint32_t>> Started;
+    /// Orders and polls are neither done nor answered.
+    bool Silent = false;
+    /// Orders are done, and not answered.
+    bool LoseAnswers = false;
+    std::map<TaskName, std::uint32_t> Barred;
+  };
+
+  Server &at(const std::string &id) { return Servers[BackendServerId(id)]; }
+  void end(const std::string &id, const TaskName &task, RunEnding how);
+  /// Starts on all servers.
+  std::size_t started() const;
+  std::size_t running() const;
+  /// The first run on any server.
+  std::pair<std::string, TaskName> anyRun() const;
+  /// The poll of this id is answered as another life with that start.
+  std::optional<std::int64_t> Born;
+
+  void start(const Endpoint &at, const StartOrder &order,
+             ServerClockMs leaseUntil, Epoch token, MonoTime deadline,
+             FleetCallback<OrderDone> done) override;
+  void stop(const Endpoint &at, const StopOrder &order, Epoch token,
+            MonoTime deadline, FleetCallback<OrderDone> done) override;
+  void poll(const Endpoint &at, const ServerLife &life,
+            const PollRequest &request, Epoch token, MonoTime deadline,
+            FleetCallback<PollAnswer> done) override;
+
+private:
+  template <typename T>
+  void answer(const Server &from, FleetCallback<T> done, FleetResult<T> result,
+              MonoTime deadline);
+
+  EventLoop &Loop;
+  std::map<BackendServerId, Server> Servers;
+  std::list<Timer> Soon;
+};
+
+} // namespace citrongap
+
+#endif // CITRONGAP_CONTROL_FAKE_FLEET_H
--- /dev/null
+++ b/packages/control/src/pod_controller.cpp
@@ -0,0 +1,390 @@
+// Take-over and rounds of the owner.
+#include "citrongap/control/pod_controller.h"
+
+#include <utility>
+
+namespace citrongap {
+
+namespace {
+
+/// All owners write under one producer, so that a newer epoch fences the rest.
+constexpr const char *OwnerProducer = "owner";
+/// Events of one moment are planned for together.
+constexpr Millis GatherFor{2};
+constexpr Millis SweepEvery{10000};
+constexpr std::size_t MaxForgottenAtOnce = 500;
+
+} // namespace
+
+PodController::PodController(EventLoop &loop, StorePort &store,
+                             FleetPort &fleet, WorkBoard &board,
+                             TopicTail &jobsTail, EventLog &log, TopicId jobs,
+                             TopicId servers, ReadServerEntry readEntry,
+                             ControllerTerms terms)
+    : Loop(loop), Store(store), Fleet(fleet), Board(board), JobsTail(jobsTail),
+      Log(log), Jobs(std::move(jobs)), ReadEntry(std::move(readEntry)),
+      Terms(terms),
+      ServersTail(
+          loop, store, std::move(servers),
+          TailTerms{.Wait = Millis(0), .Spacing = terms.ServerListEvery},
+          [this](const KeyedRecord &it) { onServerRecord(it); },
+          [this] { changed(); }) {}
+
+PodController::~PodController() = default;
+
+void PodController::takeOver(Epoch epoch) {
+  Token = epoch;
+  TookOverAt = monoNow();
+  Planner = std::make_unique<PodPlanner>(Terms.Planner);
+  Planner->setGuarantees(Guarantees);
+  Appender = std::make_unique<BatchAppender>(Loop, Store, Jobs, OwnerProducer,
+                                             epoch, Terms.Appender);
+  Appender->OnFenced = [this] {
+    stepDown("a newer epoch has written");
+    if (OnFenced)
+      OnFenced();
+  };
+  Appender->OnRetry = [this](const std::string &why) {
+    Log("owner", "append_retry", "epoch={} why=\"{}\"", Token.value(), why);
+  };
+  Log("owner", "taking_over", "epoch={}", epoch.value());
+  ServersTail.start();
+  Appender->append({}, [this](bool appended) { onFenceWritten(appended); });
+}
+
+void PodController::onFenceWritten(bool appended) {
+  if (!appended || !Planner)
+    return;
+  CatchUpTo = Appender->end();
+  JobsTail.poke();
+  onTailAt(JobsTail.next());
+}
+
+void PodController::onTailAt(LogOffset next) {
+  if (!Planner || ActiveOwner || !CatchUpTo || !JobsTail.loaded() ||
+      next < *CatchUpTo)
+    return;
+  activate();
+}
+
+void PodController::activate() {
+  ActiveOwner = true;
+  for (const auto &[id, entry] : Board.all())
+    adopt(id);
+  Log("owner", "took_over", "epoch={} jobs={} servers={} read_to={}",
+      Token.value(), Board.all().size(), Listed.size(), CatchUpTo->value());
+  for (const auto &[id, entry] : Listed)
+    addLink(entry);
+  Tick = Loop.every(Terms.TickEvery, [this] { step(); });
+  Sweep = Loop.every(SweepEvery, [this] { forgetEnded(); });
+  changed();
+}
+
+void PodController::stepDown(const char *reason) {
+  if (!Planner)
+    return;
+  Log("owner", "stepped_down", "epoch={} why=\"{}\"", Token.value(), reason);
+  ActiveOwner = false;
+  Recording = false;
+  CatchUpTo.reset();
+  Tick.cancel();
+  Sweep.cancel();
+  ServersTail.stop();
+  for (auto &[life, link] : Links) {
+    link->setActive(false);
+    Retired.push_back(std::move(link));
+  }
+  Links.clear();
+  Listed.clear();
+  Vanished.clear();
+  // Callbacks of the appender and the links may be on the stack.
+  StepSoon = Loop.at(monoNow(), [this] { step(); });
+  if (Appender) {
+    Appender->OnFenced = nullptr;
+    Appender->OnRetry = nullptr;
+  }
+  OldPlanner = std::move(Planner);
+  OldAppender = std::move(Appender);
+}
+
+void PodController::setGuarantees(
+    std::map<ClientAccountId, std::int64_t> gpus) {
+  Guarantees = std::move(gpus);
+  if (Planner)
+    Planner->setGuarantees(Guarantees);
+  changed();
+}
+
+void PodController::adopt(const WorkId &id) {
+  const BoardEntry *entry = Board.find(id);
+  if (!entry)
+    return;
+  if (!Planner->find(id)) {
+    WorkRecord record;
+    if (!entry->State.empty()) {
+      auto read = decodeWorkRecord(entry->State);
+      if (auto *known = std::get_if<WorkRecord>(&read)) {
+        record = std::move(*known);
+      } else {
+        // Starting it anew could run it twice.
+        Log("owner", "job_left_out", "request={} why=\"{}\"", id.str(),
+            std::get<Findings>(read).text());
+        return;
+      }
+    }
+    if (ended(record.Phase) && !record.anyPlaced())
+      return;
+    Planner->addWork(*entry->Spec, std::move(record), monoNow());
+  }
+  if (entry->CancelAsked)
+    Planner->cancel(id, toMillis(wallNow()));
+}
+
+void PodController::onNews(const WorkId &id) {
+  if (!ActiveOwner)
+    return;
+  adopt(id);
+  changed();
+}
+
+void PodController::onServerRecord(const KeyedRecord &record) {
+  if (!Planner)
+    return;
+  const BackendServerId id(record.Key);
+  if (!record.Value) {
+    if (Listed.contains(id))
+      Vanished.try_emplace(id, monoNow());
+    return;
+  }
+  auto read = ReadEntry(record);
+  const auto *entry = std::get_if<ServerEntry>(&read);
+  if (!entry) {
+    Log("servers", "entry_ignored", "server={} why=\"{}\"", id.str(),
+        std::get<Findings>(read).text());
+    return;
+  }
+  Vanished.erase(id);
+  const auto known = Listed.find(id);
+  if (known != Listed.end() && known->second == *entry)
+    return;
+  if (known == Listed.end() || known->second.Life != entry->Life ||
+      known->second.Draining != entry->Draining)
+    Log("servers", "entry", "server={} born={} draining={} leaves_in_ms={}",
+        id.str(), entry->Life.BornMs, entry->Draining, entry->DrainRemainingMs);
+  // A machine carries one life at a time.
+  if (known == Listed.end() && !entry->Machine.empty()) {
+    for (const auto &[other, it] : Listed)
+      if (it.Machine == entry->Machine && other != id) {
+        dropServer(ServerLife(it.Life), "its machine carries another server");
+        break;
+      }
+  }
+  if (known != Listed.end() && known->second.Life != entry->Life)
+    dropServer(ServerLife(known->second.Life), "it started again");
+  Listed[id] = *entry;
+  if (ActiveOwner)
+    addLink(*entry);
+}
+
+void PodController::addLink(const ServerEntry &entry) {
+  const MonoTime now = monoNow();
+  Planner->putServer(entry, now);
+  if (Links.contains(entry.Life))
+    return;
+  auto link = std::make_unique<ServerLink>(
+      Loop, Fleet, *Planner, Log, entry.Life, Endpoint{entry.Ip, entry.Port},
+      Token, Terms.Link, inheritedLeasesEndBy(), linkEvents());
+  ServerLink &added = *link;
+  Links.emplace(entry.Life, std::move(link));
+  added.wake();
+}
+
+ServerLink::Events PodController::linkEvents() {
+  ServerLink::Events events;
+  events.Changed = [this] { changed(); };
+  events.Fenced = [this](const ServerLife &life) {
+    Log("owner", "fenced_by_server", "server={} epoch={}", life.Id.str(),
+        Token.value());
+    stepDown("a server obeys a newer owner");
+    if (OnFenced)
+      OnFenced();
+  };
+  events.Reborn = [this](const ServerLife &life) {
+    dropServer(ServerLife(life), "another life answers");
+  };
+  events.Lapsed = [this](const ServerLife &life) {
+    Planner->leasesLapsed(life, monoNow());
+    changed();
+  };
+  return events;
+}
+
+void PodController::dropServer(const ServerLife &life, const char *reason) {
+  Log("servers", "gone", "server={} born={} why=\"{}\"", life.Id.str(),
+      life.BornMs, reason);
+  const auto link = Links.find(life);
+  if (link != Links.end()) {
+    link->second->setActive(false);
+    Retired.push_back(std::move(link->second));
+    Links.erase(link);
+  }
+  const auto listed = Listed.find(life.Id);
+  if (listed != Listed.end() && listed->second.Life == life)
+    Listed.erase(listed);
+  Vanished.erase(life.Id);
+  if (Planner)
+    Planner->serverGone(life, monoNow());
+  changed();
+}
+
+void PodController::dropVanished() {
+  const MonoTime now = monoNow();
+  std::vector<ServerLife> gone;
+  for (const auto &[id, since] : Vanished) {
+    const auto listed = Listed.find(id);
+    if (listed == Listed.end())
+      continue;
+    const ServerEntry &entry = listed->second;
+    const auto link = Links.find(entry.Life);
+    const bool reachable = link != Links.end() && link->second->reachable();
+    const bool left = entry.Draining && !reachable;
+    const bool silent = !reachable && now - since >= Terms.EntryReturnsWithin &&
+                        Planner->placedOn(entry.Life).empty();
+    if (left || silent)
+      gone.push_back(entry.Life);
+  }
+  for (const ServerLife &it : gone)
+    dropServer(it, "its entry vanished");
+}
+
+MonoTime PodController::inheritedLeasesEndBy() const {
+  return TookOverAt + Terms.OwnershipLapse +
+         Millis(static_cast<std::int64_t>(
+             static_cast<double>(Terms.Link.MaxLease.count()) *
+             Terms.Link.ClockSlack)) +
+         Terms.Link.LapseMargin;
+}
+
+void PodController::releaseUnlisted() {
+  if (!ServersTail.loaded())
+    return;
+  const MonoTime now = monoNow();
+  for (const ServerLife &life : Planner->placedLives()) {
+    if (Links.contains(life))
+      continue;
+    // A life is over once the next one of the same server is listed.
+    if (!Listed.contains(life.Id) && now < inheritedLeasesEndBy())
+      continue;
+    Log("servers", "unlisted_runs_released", "server={} born={}", life.Id.str(),
+        life.BornMs);
+    Planner->leasesLapsed(life, now);
+  }
+}
+
+void PodController::changed() {
+  if (!ActiveOwner || StepSoon.pending())
+    return;
+  StepSoon = Loop.at(monoNow() + GatherFor, [this] {
+    StepSoon.cancel();
+    step();
+  });
+}
+
+void PodController::step() {
+  Retired.clear();
+  OldPlanner.reset();
+  OldAppender.reset();
+  if (!ActiveOwner || Recording)
+    return;
+  dropVanished();
+  releaseUnlisted();
+  PlannedRound round = Planner->plan(monoNow(), toMillis(wallNow()));
+  for (const StopOrder &it : round.Stops)
+    if (const auto link = Links.find(it.Server); link != Links.end())
+      link->second->stop(it);
+  round.Stops.clear();
+  record(std::move(round));
+}
+
+void PodController::record(PlannedRound round) {
+  std::map<ServerLife, std::uint64_t> seen;
+  for (const auto &[life, link] : Links)
+    seen[life] = link->seenUpTo();
+  std::vector<KeyedRecord> records;
+  for (const WorkId &id : Planner->takeChanged()) {
+    const PlannedWork &work = *Planner->find(id);
+    WorkRecord copy = work.Record;
+    if (ended(copy.Phase) && !copy.anyPlaced())
+      copy.Occurrences.clear();
+    records.push_back({stateKey(id), encode(copy)});
+    if (ended(copy.Phase) && copy.Occurrences.empty())
+      Log("job", describe(copy.Phase), "request={} account={} age_ms={}",
+          id.str(), work.Spec.Account.str(),
+          toMillis(wallNow()) - work.Spec.AcceptedAtMs);
+  }
+  Planner->dropEnded();
+  if (records.empty()) {
+    for (const auto &[life, number] : seen)
+      Links.at(life)->recordedUpTo(number);
+    return;
+  }
+  Recording = true;
+  Appender->append(std::move(records),
+                   [this, round = std::move(round),
+                    seen = std::move(seen)](bool appended) mutable {
+                     onRecorded(std::move(round), std::move(seen), appended);
+                   });
+}
+
+void PodController::onRecorded(PlannedRound round,
+                               std::map<ServerLife, std::uint64_t> seen,
+                               bool appended) {
+  Recording = false;
+  if (!ActiveOwner)
+    return;
+  if (!appended) {
+    // The records are not in the store, and the planner believes they are.
+    stepDown("the store refused a record");
+    if (OnFenced)
+      OnFenced();
+    return;
+  }
+  send(round);
+  for (const auto &[life, number] : seen)
+    if (const auto link = Links.find(life); link != Links.end())
+      link->second->recordedUpTo(number);
+  changed();
+}
+
+void PodController::send(const PlannedRound &round) {
+  for (const StartOrder &it : round.Starts) {
+    if (!Planner->wanted(it.Task, it.Run, it.Server))
+      continue;
+    const auto link = Links.find(it.Server);
+    if (link == Links.end())
+      continue;
+    Log("order", "start", "task={} run={} server={} resumed={}", it.Task.str(),
+        it.Run, it.Server.Id.str(), !it.Checkpoint.empty());
+    link->second->start(it);
+  }
+}
+
+void PodController::forgetEnded() {
+  if (!ActiveOwner || Recording)
+    return;
+  const std::int64_t before = toMillis(wallNow()) - Terms.KeepEnded.count();
+  std::vector<KeyedRecord> drops;
+  for (const auto &[id, entry] : Board.all()) {
+    if (drops.size() >= MaxForgottenAtOnce)
+      break;
+    if (!ended(entry.Phase) || entry.EndedAtMs > before || Planner->find(id))
+      continue;
+    drops.push_back({cancelKey(id), std::nullopt});
+    drops.push_back({stateKey(id), std::nullopt});
+    drops.push_back({specKey(id), std::nullopt});
+  }
+  if (!drops.empty())
+    Appender->append(std::move(drops), nullptr);
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/control/src/request_front.cpp
@@ -0,0 +1,234 @@
+// Checks a caller's request, stores what must last, and answers.
+#include "citrongap/control/request_front.h"
+
+#include "citrongap/base/outcome.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace citrongap {
+
+namespace {
+
+constexpr std::size_t WorkIdDigits = 16;
+/// A store that does not answer is asked again within this time.
+constexpr Millis StoreRetry{1000};
+
+bool isWorkId(const std::string &text) {
+  return text.size() == WorkIdDigits &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char it) { return std::isxdigit(it) != 0; });
+}
+
+} // namespace
+
+const char *describe(const CallerAnswer &answer) {
+  static constexpr const char *Names[] = {
+      "accepted", "cancelled",    "state",   "waiting", "no_job",
+      "no_queue", "unauthorized", "not_run", "unknown", "invalid"};
+  return Names[answer.index()];
+}
+
+RequestFront::RequestFront(EventLoop &loop, WorkBoard &board,
+                           TopicTail &jobsTail, TopicTail &configurationTail,
+                           BatchAppender &appender, EventLog &log,
+                           ReadSubmission readSubmission, FrontTerms terms)
+    : Loop(loop), Board(board), JobsTail(jobsTail),
+      ConfigurationTail(configurationTail), Appender(appender), Log(log),
+      Read(std::move(readSubmission)), Terms(terms) {}
+
+void RequestFront::setConfiguration(SiteConfiguration configuration) {
+  Configuration = std::move(configuration);
+}
+
+bool RequestFront::fresh(const TopicTail &tail, Millis within) const {
+  const auto at = tail.freshAt();
+  return at && monoNow() - *at <= within;
+}
+
+bool RequestFront::connected() const {
+  return Configuration && JobsTail.loaded() &&
+         fresh(ConfigurationTail, Terms.FreshWithin) && !Appender.struggling();
+}
+
+void RequestFront::handle(const CallerRequest &request, const Reply &reply) {
+  const MonoTime came = monoNow();
+  const Reply logged = [this, came, verb = request.Verb, path = request.Path,
+                        reply](const CallerAnswer &answer) {
+    const auto *notRun = std::get_if<AnswerNotRun>(&answer);
+    const auto *unknown = std::get_if<AnswerUnknown>(&answer);
+    static constexpr const char *Verbs[] = {"submit", "query", "cancel"};
+    Log("front", describe(answer),
+        "request={} verb={} took_ms={} revision={} why=\"{}\"",
+        path.substr(path.rfind('/') + 1), Verbs[static_cast<std::size_t>(verb)],
+        (monoNow() - came).count(),
+        Configuration ? Configuration->InForce.value() : 0,
+        notRun    ? notRun->Reason
+        : unknown ? unknown->Reason
+                  : "");
+    reply(answer);
+  };
+  if (!Configuration || !fresh(ConfigurationTail, Terms.ConfigurationUsable)) {
+    logged(AnswerNotRun{"no current configuration", StoreRetry});
+    return;
+  }
+  const QueueRules *queue = Configuration->queueFor(request.Host, request.Path);
+  if (!queue) {
+    logged(AnswerNoQueue{});
+    return;
+  }
+  ClientAccountId account;
+  const auto key = Configuration->AccountByKey.find(request.ApiKey);
+  if (key != Configuration->AccountByKey.end())
+    account = key->second;
+  if (account.empty() && !queue->Public) {
+    logged(AnswerUnauthorized{});
+    return;
+  }
+  const std::string rest = request.Path.substr(queue->PathPrefix.size());
+  if (rest.empty() && request.Verb == CallerVerb::Query) {
+    if (!JobsTail.loaded())
+      logged(AnswerNotRun{"jobs are being read", StoreRetry});
+    else
+      logged(AnswerWaiting{Board.waiting(queue->Id)});
+    return;
+  }
+  if (!isWorkId(rest)) {
+    Findings findings;
+    findings.add("path", "does not end with an id of 16 hexadecimal digits");
+    logged(AnswerInvalid{std::move(findings)});
+    return;
+  }
+  const WorkId id(rest);
+  switch (request.Verb) {
+  case CallerVerb::Submit:
+    submit(request, *queue, account, id, logged);
+    break;
+  case CallerVerb::Query:
+    query(*queue, account, id, logged);
+    break;
+  case CallerVerb::Cancel:
+    cancel(request, account, id, logged);
+    break;
+  }
+}
+
+void RequestFront::submit(const CallerRequest &request, const QueueRules &queue,
+                          const ClientAccountId &account, const WorkId &id,
+                          const Reply &reply) {
+  if (Board.find(id)) {
+    reply(AnswerAccepted{});
+    return;
+  }
+  auto read = Read(request.Body);
+  if (auto *findings = std::get_if<Findings>(&read)) {
+    reply(AnswerInvalid{std::move(*findings)});
+    return;
+  }
+  if (!connected()) {
+    reply(AnswerNotRun{"the store is out of reach", StoreRetry});
+    return;
+  }
+  WorkSpec spec = std::move(std::get<WorkSpec>(read));
+  spec.Id = id;
+  spec.Queue = queue.Id;
+  spec.Account = account;
+  spec.Priority = queue.Priority;
+  spec.MaxAttempts = queue.MaxAttempts;
+  spec.Service = queue.Service;
+  spec.AcceptedAtMs = toMillis(wallNow());
+  std::vector<KeyedRecord> records{{specKey(id), encode(spec)}};
+  store(std::move(records), request.Deadline, reply,
+        [this, spec = std::move(spec)]() -> CallerAnswer {
+          Board.applySpec(spec);
+          return AnswerAccepted{};
+        });
+}
+
+const BoardEntry *RequestFront::visible(const WorkId &id,
+                                        const ClientAccountId &account) const {
+  const BoardEntry *entry = Board.find(id);
+  const bool foreign =
+      entry && !entry->Spec->Account.empty() && entry->Spec->Account != account;
+  return foreign ? nullptr : entry;
+}
+
+CallerAnswer RequestFront::noJob() const {
+  if (JobsTail.loaded() && fresh(JobsTail, Terms.FreshWithin))
+    return AnswerNoJob{};
+  return AnswerNotRun{"jobs are not known to the end", StoreRetry};
+}
+
+void RequestFront::query(const QueueRules &, const ClientAccountId &account,
+                         const WorkId &id, const Reply &reply) {
+  const BoardEntry *entry = visible(id, account);
+  if (!entry)
+    reply(noJob());
+  else if (entry->CancelAsked && !ended(entry->Phase))
+    reply(AnswerState{WorkPhase::Cancelled});
+  else
+    reply(AnswerState{entry->Phase});
+}
+
+void RequestFront::cancel(const CallerRequest &request,
+                          const ClientAccountId &account, const WorkId &id,
+                          const Reply &reply) {
+  const BoardEntry *entry = visible(id, account);
+  if (!entry) {
+    reply(noJob());
+    return;
+  }
+  if (entry->CancelAsked || ended(entry->Phase)) {
+    reply(AnswerCancelled{});
+    return;
+  }
+  if (!connected()) {
+    reply(AnswerNotRun{"the store is out of reach", StoreRetry});
+    return;
+  }
+  const KeyedRecord record{cancelKey(id), "1"};
+  store({record}, request.Deadline, reply, [this, record]() -> CallerAnswer {
+    Board.apply(record);
+    return AnswerCancelled{};
+  });
+}
+
+void RequestFront::store(std::vector<KeyedRecord> records, MonoTime deadline,
+                         const Reply &reply,
+                         std::function<CallerAnswer()> onStored) {
+  const std::uint64_t id = NextPending++;
+  Waiting &waiting = Pending[id];
+  waiting.Answer = reply;
+  Appender.append(
+      std::move(records),
+      [this, id, onStored = std::move(onStored)](bool appended) {
+        if (!appended) {
+          finish(id, AnswerNotRun{"the store refused the record", StoreRetry});
+          return;
+        }
+        const CallerAnswer answer = onStored();
+        finish(id, answer);
+      });
+  waiting.Ticket = Appender.lastTicket();
+  waiting.GiveUp = Loop.at(deadline - Terms.AnswerMargin, [this, id] {
+    const auto it = Pending.find(id);
+    if (it == Pending.end())
+      return;
+    if (Appender.withdraw(it->second.Ticket))
+      finish(id, AnswerNotRun{"the store did not take it in time", StoreRetry});
+    else
+      finish(id, AnswerUnknown{"the store has not answered yet"});
+  });
+}
+
+void RequestFront::finish(std::uint64_t id, const CallerAnswer &answer) {
+  const auto it = Pending.find(id);
+  if (it == Pending.end())
+    return;
+  const Reply reply = std::move(it->second.Answer);
+  Pending.erase(it);
+  reply(answer);
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/control/src/server_link.cpp
@@ -0,0 +1,199 @@
+// Orders to one backend server, repeated until they are answered.
+#include "citrongap/control/server_link.h"
+
+#include "citrongap/base/outcome.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace citrongap {
+
+namespace {
+
+std::string describe(const FleetError &error) {
+  return std::visit(
+      Overloaded{
+          [](const ServerSilent &it) { return "no answer: " + it.Reason; },
+          [](const ServerReborn &) { return std::string("another life"); },
+          [](const ServerFenced &) { return std::string("fenced"); },
+          [](const OrderRefused &it) { return "refused: " + it.Reason; }},
+      error);
+}
+
+} // namespace
+
+ServerLink::ServerLink(EventLoop &loop, FleetPort &fleet, PodPlanner &planner,
+                       EventLog &log, ServerLife life, Endpoint at, Epoch token,
+                       LinkTerms terms, MonoTime mayHoldLeaseUntil,
+                       Events events)
+    : Loop(loop), Fleet(fleet), Planner(planner), Log(log),
+      Life(std::move(life)), At(std::move(at)), Token(token), Terms(terms),
+      Tell(std::move(events)), LeaseEndsBy(mayHoldLeaseUntil) {
+  for (StartOrder &it : Planner.placedOn(Life)) {
+    const TaskName task = it.Task;
+    Deliveries[task].Order = std::move(it);
+  }
+}
+
+void ServerLink::start(const StartOrder &order) {
+  Deliveries[order.Task] = Delivery{};
+  Deliveries[order.Task].Order = order;
+  sendStart(order.Task);
+  wake();
+}
+
+void ServerLink::stop(const StopOrder &order) {
+  Delivery &it = Deliveries[order.Task];
+  if (it.Order.Run != order.Run) {
+    it = Delivery{};
+    it.Order = {order.Task, order.Run, Life, "", ""};
+  }
+  it.StopWanted = true;
+  it.StopReason = order.Reason;
+  sendStop(order.Task);
+  wake();
+}
+
+void ServerLink::recordedUpTo(std::uint64_t number) {
+  RecordedUpTo = std::max(RecordedUpTo, number);
+  wake();
+}
+
+ServerClockMs ServerLink::leaseUntil() const {
+  // A server that has not answered yet has an unknown clock; it shortens what
+  // is too long.
+  constexpr ServerClockMs Longest = 1'000'000'000'000;
+  if (!ClockOffset)
+    return Longest;
+  return toMillis(monoNow()) + *ClockOffset + Terms.MaxLease.count();
+}
+
+void ServerLink::noteClock(ServerClockMs clock) {
+  ClockOffset = clock - toMillis(monoNow());
+}
+
+void ServerLink::sendStart(const TaskName &task) {
+  const auto found = Deliveries.find(task);
+  if (found == Deliveries.end() || Over || !Active)
+    return;
+  Delivery &it = found->second;
+  if (it.InFlight || it.AnsweredAt || it.StopWanted ||
+      !Planner.wanted(task, it.Order.Run, Life))
+    return;
+  it.InFlight = true;
+  const MonoTime now = monoNow();
+  LeaseEndsBy = std::max(
+      LeaseEndsBy,
+      now +
+          Millis(static_cast<std::int64_t>(
+              static_cast<double>(Terms.MaxLease.count()) * Terms.ClockSlack)) +
+          Terms.LapseMargin + Terms.AnswerWithin);
+  Fleet.start(At, it.Order, leaseUntil(), Token, now + Terms.AnswerWithin,
+              [this, task, run = it.Order.Run, now,
+               alive = std::weak_ptr<int>(Alive)](auto result) {
+                if (alive.lock())
+                  onStart(task, run, now, std::move(result));
+              });
+}
+
+void ServerLink::onStart(const TaskName &task, std::uint32_t run, MonoTime,
+                         FleetResult<OrderDone> result) {
+  const auto found = Deliveries.find(task);
+  const bool known =
+      found != Deliveries.end() && found->second.Order.Run == run;
+  if (known)
+    found->second.InFlight = false;
+  const MonoTime now = monoNow();
+  if (const auto *done = std::get_if<OrderDone>(&result)) {
+    noteClock(done->Clock);
+    if (known)
+      found->second.AnsweredAt = now;
+    Planner.started(task, run, Life, now);
+    Log("order", "started", "task={} run={} server={} token={}", task.str(),
+        run, Life.Id.str(), Token.value());
+    wake();
+    return;
+  }
+  const FleetError &error = std::get<FleetError>(result);
+  Log("order", "start_failed", "task={} run={} server={} why=\"{}\"",
+      task.str(), run, Life.Id.str(), describe(error));
+  if (std::holds_alternative<ServerFenced>(error)) {
+    Tell.Fenced(Life);
+  } else if (std::holds_alternative<ServerReborn>(error)) {
+    Tell.Reborn(Life);
+  } else if (const auto *refused = std::get_if<OrderRefused>(&error)) {
+    if (known)
+      Deliveries.erase(found);
+    Planner.startRefused(task, run, Life, refused->Why, now);
+    Tell.Changed();
+  } else if (known) {
+    found->second.Retry =
+        Loop.at(now + Terms.RetryAfter, [this, task] { sendStart(task); });
+  }
+}
+
+void ServerLink::sendStop(const TaskName &task) {
+  const auto found = Deliveries.find(task);
+  if (found == Deliveries.end() || Over || !Active)
+    return;
+  Delivery &it = found->second;
+  if (it.StopInFlight || it.StopAnsweredAt)
+    return;
+  it.StopInFlight = true;
+  Fleet.stop(At, {task, it.Order.Run, Life, it.StopReason}, Token,
+             monoNow() + Terms.AnswerWithin,
+             [this, task, run = it.Order.Run,
+              alive = std::weak_ptr<int>(Alive)](auto result) {
+               if (alive.lock())
+                 onStop(task, run, std::move(result));
+             });
+}
+
+void ServerLink::onStop(const TaskName &task, std::uint32_t run,
+                        FleetResult<OrderDone> result) {
+  const auto found = Deliveries.find(task);
+  if (found == Deliveries.end() || found->second.Order.Run != run)
+    return;
+  Delivery &it = found->second;
+  it.StopInFlight = false;
+  const MonoTime now = monoNow();
+  if (std::holds_alternative<OrderDone>(result)) {
+    it.StopAnsweredAt = now;
+    Log("order", "stopping", "task={} run={} server={} why=\"{}\"", task.str(),
+        run, Life.Id.str(), it.StopReason);
+    wake();
+    return;
+  }
+  const FleetError &error = std::get<FleetError>(result);
+  Log("order", "stop_failed", "task={} run={} server={} why=\"{}\"", task.str(),
+      run, Life.Id.str(), describe(error));
+  if (std::holds_alternative<ServerFenced>(error)) {
+    Tell.Fenced(Life);
+    return;
+  }
+  if (std::holds_alternative<ServerReborn>(error)) {
+    Tell.Reborn(Life);
+    return;
+  }
+  it.Retry = Loop.at(now + Terms.RetryAfter, [this, task] { sendStop(task); });
+}
+
+bool ServerLink::needsPoll() const {
+  return !Synchronized || !Deliveries.empty() || ToldUpTo < SeenUpTo ||
+         Failures > 0;
+}
+
+void ServerLink::wake() {
+  if (!Polling && !Over && Active && needsPoll() && !Again.pending())
+    poll();
+}
+
+void ServerLink::later(Millis wait) {
+  Again = Loop.at(monoNow() + wait, [this] {
+    Again.cancel();
+    wake();
+  });
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/control/src/server_link_poll.cpp
@@ -0,0 +1,163 @@
+// The long poll of a backend server, and what its lists mean.
+#include "citrongap/control/server_link.h"
+
+#include "citrongap/base/outcome.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace citrongap {
+
+void ServerLink::poll() {
+  Polling = true;
+  const MonoTime now = monoNow();
+  PollRequest request;
+  request.RecordedUpTo = RecordedUpTo;
+  // A server that may be cut off gets no longer lease from polls that arrive
+  // late; it is left to lapse.
+  if (Failures == 0 && !Deliveries.empty()) {
+    request.LeaseUntil = leaseUntil();
+    LeaseEndsBy = std::max(LeaseEndsBy,
+                           now +
+                               Millis(static_cast<std::int64_t>(
+                                   static_cast<double>(Terms.MaxLease.count()) *
+                                   Terms.ClockSlack)) +
+                               Terms.LapseMargin + Terms.AnswerWithin);
+  }
+  if (Failures == 0 && Synchronized && !Deliveries.empty())
+    request.Wait = Terms.PollWait;
+  Fleet.poll(At, Life, request, Token, now + request.Wait + Terms.AnswerWithin,
+             [this, now, told = RecordedUpTo,
+              alive = std::weak_ptr<int>(Alive)](auto result) {
+               if (alive.lock())
+                 onPoll(now, told, std::move(result));
+             });
+}
+
+void ServerLink::onPoll(MonoTime sentAt, std::uint64_t told,
+                        FleetResult<PollAnswer> result) {
+  Polling = false;
+  if (Over || !Active)
+    return;
+  if (const auto *error = std::get_if<FleetError>(&result)) {
+    pollFailed(*error);
+    return;
+  }
+  const auto &answer = std::get<PollAnswer>(result);
+  if (answer.BornMs && *answer.BornMs != Life.BornMs) {
+    Over = true;
+    Tell.Reborn(Life);
+    return;
+  }
+  if (Failures >= Terms.UnreachableAfter) {
+    Log("server", "reachable", "server={} born={}", Life.Id.str(), Life.BornMs);
+    Planner.setReachable(Life.Id, true);
+  }
+  Failures = 0;
+  ToldUpTo = std::max(ToldUpTo, told);
+  noteClock(answer.Clock);
+  takeLists(sentAt, answer);
+}
+
+void ServerLink::pollFailed(const FleetError &error) {
+  if (std::holds_alternative<ServerFenced>(error)) {
+    Tell.Fenced(Life);
+    return;
+  }
+  if (std::holds_alternative<ServerReborn>(error)) {
+    Over = true;
+    Tell.Reborn(Life);
+    return;
+  }
+  if (++Failures == Terms.UnreachableAfter) {
+    Log("server", "unreachable", "server={} born={} runs={}", Life.Id.str(),
+        Life.BornMs, Deliveries.size());
+    Planner.setReachable(Life.Id, false);
+    Tell.Changed();
+  }
+  if (Failures >= Terms.UnreachableAfter && monoNow() >= LeaseEndsBy &&
+      !Deliveries.empty()) {
+    Log("server", "leases_lapsed", "server={} born={} runs={}", Life.Id.str(),
+        Life.BornMs, Deliveries.size());
+    Deliveries.clear();
+    Tell.Lapsed(Life);
+  }
+  later(Terms.RetryAfter);
+}
+
+void ServerLink::takeLists(MonoTime sentAt, const PollAnswer &answer) {
+  const MonoTime now = monoNow();
+  const std::uint64_t before = SeenUpTo;
+  const bool first = !std::exchange(Synchronized, true);
+  for (const ListedRun &it : answer.Running)
+    takeRunning(it, now);
+  for (const ListedEnd &it : answer.Ended)
+    if (it.Number > SeenUpTo)
+      takeEnd(it, now);
+  takeMissing(sentAt, answer, now);
+  if (first) {
+    std::vector<TaskName> unanswered;
+    for (const auto &[task, it] : Deliveries)
+      if (!it.AnsweredAt && !it.InFlight)
+        unanswered.push_back(task);
+    for (const TaskName &it : unanswered)
+      sendStart(it);
+  }
+  if (SeenUpTo > before)
+    Tell.Changed();
+  // Ends are listed again until they are recorded; a pause keeps the poll from
+  // being answered at once with the same.
+  constexpr Millis RecordPause{25};
+  if (RecordedUpTo < SeenUpTo)
+    later(RecordPause);
+  else
+    wake();
+}
+
+void ServerLink::takeRunning(const ListedRun &run, MonoTime now) {
+  Planner.progressed(run.Task, run.Run, Life, run.Percent, now);
+  const auto found = Deliveries.find(run.Task);
+  if (found != Deliveries.end() && found->second.Order.Run == run.Run) {
+    if (!found->second.AnsweredAt)
+      found->second.AnsweredAt = now;
+    return;
+  }
+  if (!Planner.wanted(run.Task, run.Run, Life))
+    stop({run.Task, run.Run, Life, "not the current run"});
+}
+
+void ServerLink::takeEnd(const ListedEnd &end, MonoTime now) {
+  SeenUpTo = end.Number;
+  const auto found = Deliveries.find(end.Task);
+  if (found != Deliveries.end() && found->second.Order.Run == end.Run)
+    Deliveries.erase(found);
+  Log("run", "ended", "task={} run={} server={} how={} number={}",
+      end.Task.str(), end.Run, Life.Id.str(), describe(end.How), end.Number);
+  Planner.runEnded(end.Task, end.Run, Life, end.How, end.Checkpoint, now,
+                   toMillis(wallNow()));
+}
+
+void ServerLink::takeMissing(MonoTime sentAt, const PollAnswer &answer,
+                             MonoTime now) {
+  std::set<TaskName> running;
+  for (const ListedRun &it : answer.Running)
+    running.insert(it.Task);
+  std::vector<std::pair<TaskName, std::uint32_t>> missing;
+  for (const auto &[task, it] : Deliveries) {
+    const bool startedBefore = it.AnsweredAt && *it.AnsweredAt < sentAt;
+    const bool stoppedBefore = it.StopAnsweredAt && *it.StopAnsweredAt < sentAt;
+    if (!running.contains(task) && (startedBefore || stoppedBefore))
+      missing.emplace_back(task, it.Order.Run);
+  }
+  for (const auto &[task, run] : missing) {
+    Log("run", "missing", "task={} run={} server={}", task.str(), run,
+        Life.Id.str());
+    Deliveries.erase(task);
+    Planner.runMissing(task, run, Life, now);
+  }
+  if (!missing.empty())
+    Tell.Changed();
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/control/src/work_board.cpp
@@ -0,0 +1,76 @@
+// Keys are a letter for the kind and the job's id: "j/" submission, "s/"
+// state, "c/" cancellation.
+#include "citrongap/control/work_board.h"
+
+#include <utility>
+
+namespace citrongap {
+
+std::string specKey(const WorkId &id) { return "j/" + id.str(); }
+std::string stateKey(const WorkId &id) { return "s/" + id.str(); }
+std::string cancelKey(const WorkId &id) { return "c/" + id.str(); }
+
+void WorkBoard::apply(const KeyedRecord &record) {
+  const auto slash = record.Key.find('/');
+  if (slash != 1)
+    return;
+  const WorkId id(record.Key.substr(2));
+  const char kind = record.Key[0];
+  if (!record.Value) {
+    if (kind == 'j')
+      Entries.erase(id);
+    return;
+  }
+  if (kind == 'j') {
+    auto spec = decodeWorkSpec(*record.Value);
+    if (auto *known = std::get_if<WorkSpec>(&spec))
+      applySpec(std::move(*known));
+    else
+      Log("board", "unreadable_submission", "request={} why=\"{}\"", id.str(),
+          std::get<Findings>(spec).text());
+    return;
+  }
+  BoardEntry &entry = Entries[id];
+  if (kind == 'c') {
+    if (!std::exchange(entry.CancelAsked, true) && OnNews)
+      OnNews(id);
+    return;
+  }
+  if (kind != 's')
+    return;
+  const auto state = decodeWorkSummary(*record.Value);
+  if (const auto *known = std::get_if<WorkSummary>(&state)) {
+    entry.Phase = known->Phase;
+    entry.EndedAtMs = known->EndedAtMs;
+    entry.State = *record.Value;
+  } else {
+    Log("board", "unreadable_state", "request={} why=\"{}\"", id.str(),
+        std::get<Findings>(state).text());
+  }
+}
+
+void WorkBoard::applySpec(WorkSpec spec) {
+  BoardEntry &entry = Entries[spec.Id];
+  if (entry.Spec)
+    return;
+  const WorkId id = spec.Id;
+  entry.Spec = std::move(spec);
+  if (OnNews)
+    OnNews(id);
+}
+
+const BoardEntry *WorkBoard::find(const WorkId &id) const {
+  const auto it = Entries.find(id);
+  return it == Entries.end() || !it->second.Spec ? nullptr : &it->second;
+}
+
+std::size_t WorkBoard::waiting(const QueueId &queue) const {
+  std::size_t n = 0;
+  for (const auto &[id, entry] : Entries)
+    if (entry.Spec && entry.Spec->Queue == queue && !entry.CancelAsked &&
+        entry.Phase == WorkPhase::Queued)
+      ++n;
+  return n;
+}
+
+} // namespace citrongap
--- a/packages/net/include/citrongap/net/http_message.h
+++ b/packages/net/include/citrongap/net/http_message.h
@@ -3,10 +3,18 @@
 #define CITRONGAP_NET_HTTP_MESSAGE_H
 
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace citrongap {
 
+/// Names as sent; lookups ignore case.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// The first value of header `name`; empty when absent.
+std::string headerOf(const HttpHeaders &headers, const std::string &name);
+
 struct HttpRequest {
   /// "GET", "POST", "PUT" or "DELETE".
   std::string Method = "GET";
@@ -15,12 +23,15 @@
   std::string Body;
   /// IP number of the caller; set by the server.
   std::string Peer;
+  /// Sent besides Content-Type, and Host unless it is given here.
+  HttpHeaders Headers = {};
 };
 
 struct HttpResponse {
   int Status = 200;
   std::string Body;
   std::string ContentType = "application/json";
+  HttpHeaders Headers = {};
 };
 
 /// Why there is no response. The request may have taken effect in each case
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -72,6 +72,9 @@
   const char *type = evhttp_find_header(
       evhttp_request_get_input_headers(request), "Content-Type");
   response.ContentType = type ? type : "";
+  const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval *it = headers->tqh_first; it; it = it->next.tqe_next)
+    response.Headers.emplace_back(it->key, it->value);
   return response;
 }
 
@@ -158,8 +161,12 @@
                                   self->Error = errorOf(error);
                               });
   auto *headers = evhttp_request_get_output_headers(call->Request);
-  evhttp_add_header(headers, "Host", to.str().c_str());
-  if (!request.Body.empty())
+  if (headerOf(request.Headers, "Host").empty())
+    evhttp_add_header(headers, "Host", to.str().c_str());
+  for (const auto &[name, value] : request.Headers)
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  if (!request.Body.empty() &&
+      headerOf(request.Headers, "Content-Type").empty())
     evhttp_add_header(headers, "Content-Type", "application/json");
   evbuffer_add(evhttp_request_get_output_buffer(call->Request),
                request.Body.data(), request.Body.size());
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <strings.h>
 #include <utility>
 
 namespace citrongap {
@@ -19,6 +20,9 @@
     evbuffer_add(body, response.Body.data(), response.Body.size());
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", response.ContentType.c_str());
+    for (const auto &[name, value] : response.Headers)
+      evhttp_add_header(evhttp_request_get_output_headers(request),
+                        name.c_str(), value.c_str());
     // libevent frees the request by itself when the caller has gone.
     evhttp_send_reply(request, response.Status, nullptr, body);
     evbuffer_free(body);
@@ -27,6 +31,13 @@
   ~State() { send({500, R"({"error":"no answer was given"})"}); }
 };
 
+std::string headerOf(const HttpHeaders &headers, const std::string &name) {
+  for (const auto &[key, value] : headers)
+    if (strcasecmp(key.c_str(), name.c_str()) == 0)
+      return value;
+  return {};
+}
+
 HttpResponder::HttpResponder(evhttp_request *request)
     : Shared(std::make_shared<State>()) {
   Shared->Request = request;
@@ -82,6 +93,9 @@
   if (auto *connection = evhttp_request_get_connection(request))
     evhttp_connection_get_peer(connection, &ip, &port);
   out.Peer = ip ? ip : "";
+  const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval *it = headers->tqh_first; it; it = it->next.tqe_next)
+    out.Headers.emplace_back(it->key, it->value);
   return out;
 }
 
--- /dev/null
+++ b/packages/store/include/citrongap/store/owner_election.h
@@ -0,0 +1,62 @@
+// Keeps this node in the group that owns a topic and tells when it holds it.
+// The holder counts as owner only while its last join is young enough that no
+// other member can have been given the topic meanwhile.
+#ifndef CITRONGAP_STORE_OWNER_ELECTION_H
+#define CITRONGAP_STORE_OWNER_ELECTION_H
+
+#include "citrongap/net/event_loop.h"
+#include "citrongap/store/store_port.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace citrongap {
+
+struct ElectionTerms {
+  /// Without a join for so long, the store gives the topic to another member.
+  Millis LapseAfter{2000};
+  /// Between joins; three fit into the lapse.
+  Millis JoinEvery{600};
+  Millis AnswerWithin{600};
+  Millis RetryAfter{150};
+};
+
+class OwnerElection {
+public:
+  OwnerElection(EventLoop &loop, StorePort &store, std::string group,
+                std::string member, TopicId topic, ElectionTerms terms);
+
+  void start();
+  /// Leaves the group, so that another member takes over at once.
+  void leave();
+  /// Holds the topic, and its last join was sent within the lapse.
+  bool holds() const;
+  Epoch generation() const { return Generation; }
+  /// Each time this member starts or ceases to hold the topic.
+  std::function<void(bool holds)> OnChange;
+
+private:
+  void join();
+  void onStanding(MonoTime sentAt, StoreResult<GroupStanding> result);
+  void report();
+
+  EventLoop &Loop;
+  StorePort &Store;
+  std::string Group;
+  std::string Member;
+  TopicId Topic;
+  ElectionTerms Terms;
+  Epoch Generation;
+  bool Holding = false;
+  bool Reported = false;
+  bool Left = false;
+  MonoTime ConfirmedAt;
+  Timer Again;
+  Timer Lapse;
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+};
+
+} // namespace citrongap
+
+#endif // CITRONGAP_STORE_OWNER_ELECTION_H
--- /dev/null
+++ b/packages/store/include/citrongap/store/topic_tail.h
@@ -0,0 +1,84 @@
+// Follows one topic: first the newest record of each key, then every record
+// in order. A reader whose place was cut starts over with the newest.
+#ifndef CITRONGAP_STORE_TOPIC_TAIL_H
+#define CITRONGAP_STORE_TOPIC_TAIL_H
+
+#include "citrongap/net/event_loop.h"
+#include "citrongap/store/store_port.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace citrongap {
+
+struct TailTerms {
+  /// A read waits so long for a record. Zero reads at every `Spacing`.
+  Millis Wait{10000};
+  /// Between the end of one read and the next; batches records.
+  Millis Spacing{0};
+  /// After a refused or unanswered read.
+  Millis RetryAfter{150};
+  /// A read with `Wait` gets so much longer to be answered; a store that takes
+  /// 100 times its usual 4 ms still answers in time.
+  Millis AnswerWithin{1500};
+  /// While records may be missed, a read does not wait longer than this, so
+  /// that a silent connection is noticed.
+  Millis CheckEvery{1000};
+};
+
+class TopicTail {
+public:
+  using OnRecord = std::function<void(const KeyedRecord &)>;
+
+  /// `topic` is read from start(); `onRecord` sees each record once, but those
+  /// read as newest may be seen again in order. `onBatch` follows each answer.
+  TopicTail(EventLoop &loop, StorePort &store, TopicId topic, TailTerms terms,
+            OnRecord onRecord, std::function<void()> onBatch);
+
+  void start();
+  void stop();
+  /// Everything was seen that the store had at this time; nothing before the
+  /// first complete read.
+  std::optional<MonoTime> freshAt() const { return FreshAt; }
+  LogOffset next() const { return Next; }
+  bool loaded() const { return Loaded; }
+  /// Takes effect with the next read.
+  void setSpacing(Millis spacing) { Terms.Spacing = spacing; }
+  /// Reads at once instead of after the spacing.
+  void poke();
+  /// Called when the records of the newest are about to be read again.
+  std::function<void()> OnReload;
+  /// Called when reading fails for the first time after it worked, and when
+  /// it works again.
+  std::function<void(bool works, const std::string &reason)> OnHealth;
+
+private:
+  void loadPage(const std::string &afterKey);
+  void onNewest(StoreResult<NewestPage> result);
+  void readOn();
+  void onPage(MonoTime sentAt, StoreResult<TopicPage> result);
+  void later(Millis wait, std::function<void()> what);
+  void failed(const StoreError &error);
+
+  EventLoop &Loop;
+  StorePort &Store;
+  TopicId Topic;
+  TailTerms Terms;
+  OnRecord Record;
+  std::function<void()> Batch;
+  LogOffset Next;
+  bool Loaded = false;
+  bool Running = false;
+  bool Working = true;
+  bool FirstPage = true;
+  bool Reading = false;
+  std::optional<MonoTime> FreshAt;
+  Timer Again;
+  /// Guards callbacks of calls that outlive this object.
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+};
+
+} // namespace citrongap
+
+#endif // CITRONGAP_STORE_TOPIC_TAIL_H
--- /dev/null
+++ b/packages/store/src/owner_election.cpp
@@ -0,0 +1,69 @@
+// Joins the owners' group again and again, and reports changes.
+#include "citrongap/store/owner_election.h"
+
+#include <utility>
+
+namespace citrongap {
+
+OwnerElection::OwnerElection(EventLoop &loop, StorePort &store,
+                             std::string group, std::string member,
+                             TopicId topic, ElectionTerms terms)
+    : Loop(loop), Store(store), Group(std::move(group)),
+      Member(std::move(member)), Topic(std::move(topic)), Terms(terms) {}
+
+void OwnerElection::start() { join(); }
+
+bool OwnerElection::holds() const {
+  return Holding && !Left && monoNow() < ConfirmedAt + Terms.LapseAfter;
+}
+
+void OwnerElection::leave() {
+  Left = true;
+  Again.cancel();
+  Lapse.cancel();
+  report();
+  Store.leave(Group, Member, monoNow() + Terms.AnswerWithin, [](auto) {});
+}
+
+void OwnerElection::join() {
+  if (Left)
+    return;
+  const MonoTime now = monoNow();
+  Store.join(Group, Member, Topic, Terms.LapseAfter, Generation,
+             now + Terms.AnswerWithin,
+             [this, now, alive = std::weak_ptr<int>(Alive)](auto result) {
+               if (alive.lock())
+                 onStanding(now, std::move(result));
+             });
+}
+
+void OwnerElection::onStanding(MonoTime sentAt,
+                               StoreResult<GroupStanding> result) {
+  if (Left)
+    return;
+  const auto *standing = std::get_if<GroupStanding>(&result);
+  if (standing) {
+    const bool changed = standing->Generation != Generation;
+    Generation = standing->Generation;
+    Holding = standing->Holds;
+    ConfirmedAt = sentAt;
+    // A member that gives a partition up does so by joining again.
+    const Millis wait = changed ? Terms.RetryAfter : Terms.JoinEvery;
+    Again = Loop.at(monoNow() + wait, [this] { join(); });
+  } else {
+    Again = Loop.at(monoNow() + Terms.RetryAfter, [this] { join(); });
+  }
+  Lapse = Loop.at(ConfirmedAt + Terms.LapseAfter, [this] { report(); });
+  report();
+}
+
+void OwnerElection::report() {
+  const bool now = holds();
+  if (now == Reported)
+    return;
+  Reported = now;
+  if (OnChange)
+    OnChange(now);
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/store/src/store_port.cpp
@@ -0,0 +1,28 @@
+// Texts of store errors for logs.
+#include "citrongap/store/store_port.h"
+
+#include "citrongap/base/outcome.h"
+
+#include <fmt/format.h>
+
+namespace citrongap {
+
+std::string describe(const StoreError &error) {
+  return std::visit(
+      Overloaded{
+          [](const StoreBusy &it) { return fmt::format("busy {}", it.Status); },
+          [](const StoreSilent &it) { return "no answer: " + it.Reason; },
+          [](const StoreFenced &) { return std::string("fenced"); },
+          [](const StoreOutOfSequence &it) {
+            return fmt::format("sequence {} expected", it.Expected);
+          },
+          [](const StoreCut &it) {
+            return fmt::format("cut before {}", it.First.value());
+          },
+          [](const StoreRefused &it) {
+            return fmt::format("refused {} {}", it.Status, it.Detail);
+          }},
+      error);
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/store/src/topic_tail.cpp
@@ -0,0 +1,135 @@
+// Reads the newest records of a topic, then follows its end.
+#include "citrongap/store/topic_tail.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citrongap {
+
+TopicTail::TopicTail(EventLoop &loop, StorePort &store, TopicId topic,
+                     TailTerms terms, OnRecord onRecord,
+                     std::function<void()> onBatch)
+    : Loop(loop), Store(store), Topic(std::move(topic)), Terms(terms),
+      Record(std::move(onRecord)), Batch(std::move(onBatch)) {}
+
+void TopicTail::start() {
+  Running = true;
+  FirstPage = true;
+  loadPage("");
+}
+
+void TopicTail::stop() {
+  Running = false;
+  Again.cancel();
+}
+
+void TopicTail::poke() {
+  if (!Running || !Loaded || Reading)
+    return;
+  Again.cancel();
+  readOn();
+}
+
+void TopicTail::later(Millis wait, std::function<void()> what) {
+  Again = Loop.at(monoNow() + wait, std::move(what));
+}
+
+void TopicTail::failed(const StoreError &error) {
+  if (Working && OnHealth)
+    OnHealth(false, describe(error));
+  Working = false;
+}
+
+void TopicTail::loadPage(const std::string &afterKey) {
+  if (!Running)
+    return;
+  Reading = true;
+  Store.newest(Topic, afterKey, monoNow() + Terms.AnswerWithin,
+               [this, alive = std::weak_ptr<int>(Alive)](auto result) {
+                 if (alive.lock())
+                   onNewest(std::move(result));
+               });
+}
+
+void TopicTail::onNewest(StoreResult<NewestPage> result) {
+  Reading = false;
+  if (!Running)
+    return;
+  if (const auto *error = std::get_if<StoreError>(&result)) {
+    failed(*error);
+    later(Terms.RetryAfter, [this] {
+      FirstPage = true;
+      loadPage("");
+    });
+    return;
+  }
+  const auto &page = std::get<NewestPage>(result);
+  if (FirstPage) {
+    if (OnReload)
+      OnReload();
+    // Pages are no snapshot: records after the first page's end are read
+    // again in order.
+    Next = page.End;
+    FirstPage = false;
+  }
+  for (const KeyedRecord &it : page.Records)
+    Record(it);
+  if (page.More && !page.Records.empty()) {
+    loadPage(page.Records.back().Key);
+    return;
+  }
+  Loaded = true;
+  readOn();
+}
+
+void TopicTail::readOn() {
+  if (!Running || Reading)
+    return;
+  Reading = true;
+  const MonoTime now = monoNow();
+  const Millis wait =
+      Working && FreshAt ? Terms.Wait : std::min(Terms.Wait, Terms.CheckEvery);
+  Store.read(Topic, Next, now + wait, now + wait + Terms.AnswerWithin,
+             [this, now, alive = std::weak_ptr<int>(Alive)](auto result) {
+               if (alive.lock())
+                 onPage(now, std::move(result));
+             });
+}
+
+void TopicTail::onPage(MonoTime sentAt, StoreResult<TopicPage> result) {
+  Reading = false;
+  if (!Running)
+    return;
+  if (const auto *error = std::get_if<StoreError>(&result)) {
+    const bool cut = std::holds_alternative<StoreCut>(*error);
+    if (!cut)
+      failed(*error);
+    later(Terms.RetryAfter, [this, cut] {
+      if (!cut) {
+        readOn();
+        return;
+      }
+      FirstPage = true;
+      loadPage("");
+    });
+    return;
+  }
+  const auto &page = std::get<TopicPage>(result);
+  if (!Working && OnHealth)
+    OnHealth(true, "");
+  Working = true;
+  Next = page.Next;
+  for (const KeyedRecord &it : page.Records)
+    Record(it);
+  // An answer with records may be as old as its sending.
+  if (Next >= page.End)
+    FreshAt = page.Records.empty() ? monoNow()
+                                   : std::max(sentAt, FreshAt.value_or(sentAt));
+  Batch();
+  if (Terms.Spacing.count() > 0 && Next >= page.End)
+    later(Terms.Spacing, [this] { readOn(); });
+  else
+    readOn();
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -0,0 +1,211 @@
+// Decides for one pod what starts where and what is stopped. It knows all jobs
+// and backend servers of the pod and does no I/O: events come in, orders go
+// out of plan(). The caller records the changed jobs in the store before it
+// sends a start.
+#ifndef CITRONGAP_WORKLOAD_POD_PLANNER_H
+#define CITRONGAP_WORKLOAD_POD_PLANNER_H
+
+#include "citrongap/policy/server_health.h"
+#include "citrongap/workload/server_table.h"
+#include "citrongap/workload/vector_packing.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace citrongap {
+
+/// How a run ended, as a backend server lists it.
+enum class RunEnding : std::uint8_t {
+  Done,
+  /// By its own fault or the server's.
+  Failed,
+  /// By an order.
+  Stopped,
+  LeaseLapsed,
+  /// Another member of the gang ended.
+  GangBroken,
+  /// The other members of the gang did not come in time.
+  GangIncomplete
+};
+
+const char *describe(RunEnding how);
+
+/// Why a backend server did not start a run.
+enum class StartRefusal : std::uint8_t {
+  NoRoom,
+  RunTooOld,
+  Unhealthy,
+  Invalid
+};
+
+struct StartOrder {
+  TaskName Task;
+  std::uint32_t Run = 0;
+  ServerLife Server;
+  std::string Payload;
+  std::string Checkpoint;
+};
+
+struct StopOrder {
+  TaskName Task;
+  std::uint32_t Run = 0;
+  ServerLife Server;
+  const char *Reason = "";
+};
+
+struct PlannedRound {
+  std::vector<StartOrder> Starts;
+  std::vector<StopOrder> Stops;
+};
+
+struct PlannerTerms {
+  /// Times as long a task takes away from its data or over several racks; the
+  /// platform's bound.
+  double FarFactor = 3;
+  /// Wait for room before lower priorities are stopped for priority 0; the
+  /// bound on reclaiming less the time that a stop and a start take.
+  Millis PreemptAfter{400};
+  /// Longest wait for room near the data. Break-even is the estimate times
+  /// (FarFactor - 1); estimates are off by several times.
+  Millis MaxNearWait{6000};
+  Millis MinNearWait{1000};
+  /// Waiting time from which racks are kept free for a gang.
+  Millis ReserveAfter{1500};
+  /// Gangs for which racks are kept free at one time.
+  std::uint32_t MaxReservations = 2;
+  /// Without progress for so long, a run is restarted elsewhere; two reports
+  /// of a server lie within 2 s each.
+  Millis StalledAfter{5000};
+  /// A server that refused a start gets none for so long; its lists then tell
+  /// what takes the room.
+  Millis RefusedPause{400};
+  /// Not confirmed for so long, a gang's start is given up; below the time
+  /// after which members end by themselves.
+  Millis GangConfirmWithin{2000};
+};
+
+/// A job at work; `Record` is what the store is to hold.
+struct PlannedWork {
+  WorkSpec Spec;
+  WorkRecord Record;
+  /// Its wait is measured from here in this owner.
+  MonoTime KnownSince;
+};
+
+class PodPlanner {
+public:
+  explicit PodPlanner(PlannerTerms terms) : Terms(terms) {}
+
+  /// Accelerators that each account holds for jobs of priority 0.
+  void setGuarantees(std::map<ClientAccountId, std::int64_t> gpus) {
+    Guarantees = std::move(gpus);
+  }
+
+  // Backend servers.
+  void putServer(const ServerEntry &entry, MonoTime now);
+  void setReachable(const BackendServerId &id, bool reachable);
+  /// Everything that ran on this life is gone; its runs may start elsewhere.
+  void serverGone(const ServerLife &life, MonoTime now);
+  /// Everything that ran on this life has lost its lease; it may come back.
+  void leasesLapsed(const ServerLife &life, MonoTime now);
+
+  // Jobs. A known id is left as it is.
+  void addWork(const WorkSpec &spec, WorkRecord record, MonoTime now);
+  void cancel(const WorkId &id, std::int64_t wallMs);
+
+  // What backend servers say of runs. Reports on other than the current run of
+  // a task, or of another server, change nothing.
+  void started(const TaskName &task, std::uint32_t run, const ServerLife &on,
+               MonoTime now);
+  void startRefused(const TaskName &task, std::uint32_t run,
+                    const ServerLife &on, StartRefusal why, MonoTime now);
+  void progressed(const TaskName &task, std::uint32_t run, const ServerLife &on,
+                  int percent, MonoTime now);
+  void runEnded(const TaskName &task, std::uint32_t run, const ServerLife &on,
+                RunEnding how, const std::string &checkpoint, MonoTime now,
+                std::int64_t wallMs);
+  /// The server neither runs nor remembers the run.
+  void runMissing(const TaskName &task, std::uint32_t run, const ServerLife &on,
+                  MonoTime now);
+
+  /// The run is the task's current one there, and is not to be stopped.
+  bool wanted(const TaskName &task, std::uint32_t run,
+              const ServerLife &on) const;
+  /// Runs placed on a server, whether they are to be stopped or not.
+  std::vector<StartOrder> placedOn(const ServerLife &life) const;
+
+  /// Lives on which runs are placed.
+  std::vector<ServerLife> placedLives() const;
+
+  /// One round of decisions. `wallMs` decides which occurrences are due.
+  PlannedRound plan(MonoTime now, std::int64_t wallMs);
+
+  /// Jobs whose records changed since the last call.
+  std::set<WorkId> takeChanged();
+  const PlannedWork *find(const WorkId &id) const;
+  const ServerTable &servers() const { return Servers; }
+  std::size_t waitingWork(const QueueId &queue) const;
+  /// Drops jobs that ended and have no run left; gives their ids.
+  std::vector<WorkId> dropEnded();
+
+private:
+  struct Unit;
+  struct Victim;
+  TaskRecord *current(const TaskName &task, std::uint32_t run,
+                      const ServerLife &on);
+  const TaskRecord *taskOf(const TaskName &task) const;
+  StepRecord &stepOf(const TaskName &task);
+  const StepSpec &specOf(const TaskName &task) const;
+  void release(const TaskName &task, TaskRecord &record, MonoTime now);
+  void wantStop(const TaskName &task, TaskRecord &record, const char *reason);
+  void countFailure(const TaskName &task, std::uint32_t run,
+                    std::int64_t wallMs);
+  void finish(const WorkId &id, PlannedWork &work, WorkPhase phase,
+              std::int64_t wallMs);
+  void stopAll(const WorkId &id, PlannedWork &work, const char *reason);
+  void checkDone(const WorkId &id, PlannedWork &work, std::int64_t wallMs);
+  void stopGang(const TaskName &member, const char *reason);
+
+  // One round, in pod_planner_round.cpp.
+  void addDueOccurrences(PlannedWork &work, std::int64_t wallMs, MonoTime now);
+  std::vector<Unit> collectWaiting(MonoTime now, std::int64_t wallMs);
+  void collectStep(const WorkId &id, PlannedWork &work, std::uint32_t k,
+                   std::uint32_t step, MonoTime now, std::vector<Unit> &out);
+  std::vector<PackingServer> packingView(MonoTime now) const;
+  void countSameStep(const Unit &unit, std::vector<PackingServer> &view) const;
+  PackingRequest requestOf(const Unit &unit, bool nearOnly) const;
+  bool place(const Unit &unit, std::vector<PackingServer> &view, MonoTime now,
+             PlannedRound &round);
+  void start(const Unit &unit, const std::vector<PackingServer> &view,
+             const std::vector<std::size_t> &at, MonoTime now,
+             PlannedRound &round);
+  /// Stops work of lower rank so that the unit fits; true when it will.
+  bool preempt(const Unit &unit, std::vector<PackingServer> &view,
+               MonoTime now);
+  std::map<BackendServerId, std::vector<Victim>>
+  victimsBelow(std::uint32_t rank, MonoTime now) const;
+  void watchRuns(MonoTime now);
+  void moveOffDraining(MonoTime now);
+  std::uint32_t rankOf(const PlannedWork &work) const;
+  void countDemand();
+
+  PlannerTerms Terms;
+  ServerTable Servers;
+  ServerHealth Health;
+  std::map<WorkId, PlannedWork> Works;
+  /// Placed runs of each server; Invariant: agrees with the records.
+  std::map<ServerLife, std::set<TaskName>> Placed;
+  std::map<ClientAccountId, std::int64_t> Guarantees;
+  /// Accelerators that unfinished jobs of priority 0 need, by account.
+  std::map<ClientAccountId, std::int64_t> UrgentDemand;
+  std::set<WorkId> Changed;
+  /// Collected until the next round.
+  std::vector<StopOrder> PendingStops;
+};
+
+} // namespace citrongap
+
+#endif // CITRONGAP_WORKLOAD_POD_PLANNER_H
--- /dev/null
+++ b/packages/workload/src/pod_planner_test.cpp
@@ -0,0 +1,166 @@
+// What the planner promises, whatever backend servers report.
+#include "planner_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace citrongap;
+
+BOOST_FIXTURE_TEST_SUITE(pod_planner, PlannerFixture)
+
+BOOST_AUTO_TEST_CASE(gang_starts_whole_or_not_at_all) {
+  addServers(2);
+  submit(job("a", 3, 8, true));
+  BOOST_TEST(plan().Starts.empty());
+  submit(job("b", 2, 8, true));
+  const PlannedRound round = plan();
+  BOOST_TEST(round.Starts.size() == 2U);
+  BOOST_TEST(round.Starts[0].Run == round.Starts[1].Run);
+}
+
+BOOST_AUTO_TEST_CASE(broken_gang_starts_anew_only_when_no_member_is_left) {
+  addServers(4);
+  submit(job("a", 2, 8, true));
+  const PlannedRound first = plan();
+  confirm(first);
+  end(first.Starts[0], RunEnding::LeaseLapsed);
+  BOOST_TEST(plan().Starts.empty());
+  end(first.Starts[1], RunEnding::GangBroken);
+  const PlannedRound second = plan();
+  BOOST_REQUIRE(second.Starts.size() == 2U);
+  BOOST_TEST(second.Starts[0].Run > first.Starts[0].Run);
+}
+
+BOOST_AUTO_TEST_CASE(one_end_of_a_gang_completes_it) {
+  addServers(2);
+  submit(job("a", 2, 8, true));
+  const PlannedRound round = plan();
+  confirm(round);
+  end(round.Starts[0], RunEnding::Done);
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(gang_failure_counts_once_for_all_members) {
+  addServers(2);
+  submit(job("a", 2, 8, true));
+  PlannedRound round = plan();
+  end(round.Starts[0], RunEnding::Failed);
+  end(round.Starts[1], RunEnding::Failed);
+  BOOST_TEST((phase("a") == WorkPhase::Running));
+  round = planAfter(Seconds(1));
+  BOOST_REQUIRE(round.Starts.size() == 2U);
+  end(round.Starts[0], RunEnding::Failed);
+  BOOST_TEST((phase("a") == WorkPhase::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(late_report_of_an_older_run_changes_nothing) {
+  addServers(2);
+  submit(job("a", 1, 1, false));
+  const PlannedRound first = plan();
+  end(first.Starts[0], RunEnding::LeaseLapsed);
+  const PlannedRound second = plan();
+  BOOST_REQUIRE(second.Starts.size() == 1U);
+  end(first.Starts[0], RunEnding::Done);
+  BOOST_TEST((phase("a") == WorkPhase::Running));
+  end(second.Starts[0], RunEnding::Done);
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(checkpoint_is_handed_to_the_next_run) {
+  addServers(1);
+  submit(job("a", 1, 1, false));
+  end(plan().Starts[0], RunEnding::Stopped, "saved-1");
+  BOOST_TEST(plan().Starts.at(0).Checkpoint == "saved-1");
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_job_is_stopped_and_starts_no_more) {
+  addServers(1);
+  submit(job("a", 2, 8, false));
+  const PlannedRound first = plan();
+  BOOST_REQUIRE(first.Starts.size() == 1U);
+  Planner.cancel(WorkId("a"), WallMs);
+  const PlannedRound second = plan();
+  BOOST_TEST(second.Stops.size() == 1U);
+  end(first.Starts[0], RunEnding::Stopped);
+  BOOST_TEST(plan().Starts.empty());
+  BOOST_TEST((phase("a") == WorkPhase::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(adopted_runs_take_room_before_the_first_round) {
+  WorkRecord record;
+  StepRecord &step = record.Occurrences.emplace_back().Steps.emplace_back();
+  TaskRecord &task = step.Tasks.emplace_back();
+  task.Stage = TaskStage::Placed;
+  task.Run = 1;
+  task.Server = life(0);
+  Planner.addWork(job("old", 1, 8, false), record, Now);
+  addServers(1);
+  submit(job("new", 1, 1, false));
+  BOOST_TEST(plan().Starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(reborn_server_frees_what_ran_on_it) {
+  addServers(1);
+  submit(job("a", 1, 8, false));
+  confirm(plan());
+  addServers(1, 2);
+  const PlannedRound round = plan();
+  BOOST_REQUIRE(round.Starts.size() == 1U);
+  BOOST_TEST((round.Starts[0].Server == life(0, 2)));
+}
+
+BOOST_AUTO_TEST_CASE(steps_wait_for_those_before_them) {
+  addServers(1);
+  WorkSpec spec = job("a", 1, 1, false);
+  spec.Steps.push_back(spec.Steps[0]);
+  spec.Steps[1].After = {0};
+  submit(spec);
+  const PlannedRound first = plan();
+  BOOST_REQUIRE(first.Starts.size() == 1U);
+  end(first.Starts[0], RunEnding::Done);
+  const PlannedRound second = plan();
+  BOOST_REQUIRE(second.Starts.size() == 1U);
+  BOOST_TEST(second.Starts[0].Task.Step == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(occurrence_does_not_start_before_it_is_due) {
+  addServers(1);
+  WorkSpec spec = job("a", 1, 1, false);
+  spec.Repetitions = 2;
+  spec.FirstDueMs = WallMs + 1000;
+  spec.IntervalMs = 5000;
+  submit(spec);
+  BOOST_TEST(plan().Starts.empty());
+  const PlannedRound first = planAfter(Seconds(1));
+  BOOST_REQUIRE(first.Starts.size() == 1U);
+  end(first.Starts[0], RunEnding::Done);
+  BOOST_TEST((phase("a") == WorkPhase::Running));
+  const PlannedRound second = planAfter(Seconds(5));
+  BOOST_REQUIRE(second.Starts.size() == 1U);
+  end(second.Starts[0], RunEnding::Done);
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(guaranteed_work_takes_room_back_from_lower_priorities) {
+  addServers(2);
+  Planner.setGuarantees({{ClientAccountId("quetta"), 8}});
+  submit(job("low", 2, 8, false, 2));
+  confirm(plan());
+  submit(job("urgent", 1, 8, true, 0));
+  BOOST_TEST(plan().Stops.empty());
+  const PlannedRound round = planAfter(Millis(500));
+  BOOST_REQUIRE(round.Stops.size() == 1U);
+  BOOST_TEST(planAfter(Millis(10)).Stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(refused_start_is_not_repeated_at_once_at_the_same_server) {
+  addServers(1);
+  submit(job("a", 1, 1, false));
+  const PlannedRound first = plan();
+  Planner.startRefused(first.Starts[0].Task, 1, life(0), StartRefusal::NoRoom,
+                       Now);
+  BOOST_TEST(plan().Starts.empty());
+  BOOST_TEST(planAfter(Millis(500)).Starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/workload/src/server_table.cpp
@@ -0,0 +1,39 @@
+// Slots of backend servers.
+#include "citrongap/workload/server_table.h"
+
+namespace citrongap {
+
+ServerSlot &ServerTable::put(const ServerEntry &entry, MonoTime now) {
+  const auto [it, added] = Slots.try_emplace(entry.Life.Id);
+  ServerSlot &slot = it->second;
+  if (added || slot.Entry.Life != entry.Life) {
+    slot = ServerSlot{};
+    slot.Free = entry.Capacity;
+  } else {
+    slot.Free += entry.Capacity;
+    slot.Free -= slot.Entry.Capacity;
+  }
+  if (entry.Draining && !slot.Entry.Draining)
+    slot.LeavesAt = now + Millis(entry.DrainRemainingMs);
+  slot.Entry = entry;
+  return slot;
+}
+
+void ServerTable::remove(const BackendServerId &id) { Slots.erase(id); }
+
+ServerSlot *ServerTable::find(const BackendServerId &id) {
+  const auto it = Slots.find(id);
+  return it == Slots.end() ? nullptr : &it->second;
+}
+
+const ServerSlot *ServerTable::find(const BackendServerId &id) const {
+  const auto it = Slots.find(id);
+  return it == Slots.end() ? nullptr : &it->second;
+}
+
+ServerSlot *ServerTable::find(const ServerLife &life) {
+  ServerSlot *slot = find(life.Id);
+  return slot && slot->Entry.Life == life ? slot : nullptr;
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/workload/src/work_state_test.cpp
@@ -0,0 +1,67 @@
+// Records of jobs survive the store, and malformed bytes become findings.
+#include "citrongap/workload/work_state.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace citrongap;
+
+namespace {
+
+WorkRecord sample() {
+  WorkRecord record;
+  record.Phase = WorkPhase::Running;
+  Occurrence &occurrence = record.Occurrences.emplace_back();
+  StepRecord &step = occurrence.Steps.emplace_back();
+  TaskRecord &task = step.Tasks.emplace_back();
+  task.Stage = TaskStage::Placed;
+  task.Run = 3;
+  task.Failures = 1;
+  task.Server = {BackendServerId("i-1"), 1234};
+  task.Checkpoint = "00000bb87a21d94b";
+  return record;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(record_is_read_back_as_written) {
+  const auto read = decodeWorkRecord(encode(sample()));
+  BOOST_REQUIRE(std::holds_alternative<WorkRecord>(read));
+  const auto &record = std::get<WorkRecord>(read);
+  const TaskRecord &task = record.Occurrences[0].Steps[0].Tasks[0];
+  BOOST_TEST((record.Phase == WorkPhase::Running));
+  BOOST_TEST((task.Stage == TaskStage::Placed));
+  BOOST_TEST(task.Run == 3U);
+  BOOST_TEST((task.Server == ServerLife{BackendServerId("i-1"), 1234}));
+  BOOST_TEST(task.Checkpoint == "00000bb87a21d94b");
+}
+
+BOOST_AUTO_TEST_CASE(summary_is_read_without_the_tasks) {
+  const auto read = decodeWorkSummary(encode(sample()));
+  BOOST_REQUIRE(std::holds_alternative<WorkSummary>(read));
+  BOOST_TEST((std::get<WorkSummary>(read).Phase == WorkPhase::Running));
+}
+
+BOOST_AUTO_TEST_CASE(every_cut_of_a_record_is_a_finding) {
+  const std::string whole = encode(sample());
+  for (std::size_t n = 0; n < whole.size(); ++n)
+    BOOST_TEST(
+        std::holds_alternative<Findings>(decodeWorkRecord(whole.substr(0, n))));
+}
+
+BOOST_AUTO_TEST_CASE(task_names_are_read_back) {
+  const TaskName name{WorkId("5c0e7a21d94b36f8"), 2, 1, 17};
+  const auto read = parseTaskName(name.str());
+  BOOST_REQUIRE(std::holds_alternative<TaskName>(read));
+  BOOST_TEST((std::get<TaskName>(read) == name));
+  for (const char *it : {"", ".0.1.2", "a.0.1", "a.0.1.x", "a.0.-1.2"})
+    BOOST_TEST(std::holds_alternative<Findings>(parseTaskName(it)));
+}
+
+BOOST_AUTO_TEST_CASE(step_that_waits_for_itself_is_a_finding) {
+  WorkSpec spec;
+  spec.Steps.resize(2);
+  spec.Steps[1].After = {1};
+  BOOST_TEST(!checkWork(spec).empty());
+  spec.Steps[1].After = {0};
+  BOOST_TEST(checkWork(spec).empty());
+}
