Each ownership has an epoch of its own; a taken sequence is no answer

Ends were acknowledged and never recorded, so a later owner started the tasks again. Ruled out: fencing at the backend servers, reads that skipped records.

--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -62,7 +62,6 @@
   void watch(TopicTail &tail, const char *topic);
   TailTerms followTerms() const;
 
-  EventLoop &Loop;
   EventLog &Log;
   EntryNodeSettings Settings;
   SiteReaders Readers;
--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -79,7 +79,8 @@
   void changed();
   void step();
   void record(PlannedRound round);
-  void onRecorded(PlannedRound round, std::map<ServerLife, std::uint64_t> seen,
+  void onRecorded(const PlannedRound &round,
+                  const std::map<ServerLife, std::uint64_t> &seen,
                   bool appended);
   void send(const PlannedRound &round);
   void forgetEnded();
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -24,12 +24,11 @@
 EntryNode::EntryNode(EventLoop &loop, StorePort &store, FleetPort &fleet,
                      EventLog &log, EntryNodeSettings settings,
                      SiteReaders readers)
-    : Loop(loop), Log(log), Settings(std::move(settings)),
-      Readers(std::move(readers)), Board(log),
-      JobsTail(
-          loop, store, Settings.Jobs, followTerms(),
-          [this](const KeyedRecord &it) { Board.apply(it); },
-          [this] { Controller.onTailAt(JobsTail.next()); }),
+    : Log(log), Settings(std::move(settings)), Readers(std::move(readers)),
+      Board(log), JobsTail(
+                      loop, store, Settings.Jobs, followTerms(),
+                      [this](const KeyedRecord &it) { Board.apply(it); },
+                      [this] { Controller.onTailAt(JobsTail.next()); }),
       ConfigurationTail(
           loop, store, Settings.Configuration, followTerms(),
           [this](const KeyedRecord &it) { onConfiguration(it); }, [] {}),
@@ -93,7 +92,7 @@
   if (!holds)
     Controller.stepDown("the group gave the pod to another member");
   else if (!Controller.owns())
-    Controller.takeOver(Election.generation());
+    Controller.takeOver(Election.nextEpoch());
 }
 
 void EntryNode::handle(const CallerRequest &request,
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -263,6 +263,23 @@
   BOOST_TEST(Fleet.started() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(owner_elected_again_in_one_generation_records_all) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  // The membership lapses while the store is away, and nobody else joins.
+  for (auto &[id, vm] : Vms)
+    vm->View.Faults.Silent = true;
+  runFor(Millis(250));
+  Fleet.end("i-1", Fleet.anyRun().second, RunEnding::Done);
+  for (auto &[id, vm] : Vms)
+    vm->View.Faults.Silent = false;
+  runFor(Millis(300));
+  BOOST_TEST(state("vm-2") == "completed");
+  kill("vm-1");
+  runFor(Millis(250));
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(draining_server_gets_no_new_work) {
   Store.put(Servers, {"i-1", "draining"});
   runFor(Millis(80));
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -330,14 +330,12 @@
   }
   Recording = true;
   Appender->append(std::move(records),
-                   [this, round = std::move(round),
-                    seen = std::move(seen)](bool appended) mutable {
-                     onRecorded(std::move(round), std::move(seen), appended);
-                   });
+                   [this, round = std::move(round), seen = std::move(seen)](
+                       bool appended) { onRecorded(round, seen, appended); });
 }
 
-void PodController::onRecorded(PlannedRound round,
-                               std::map<ServerLife, std::uint64_t> seen,
+void PodController::onRecorded(const PlannedRound &round,
+                               const std::map<ServerLife, std::uint64_t> &seen,
                                bool appended) {
   Recording = false;
   if (!ActiveOwner)
--- a/packages/store/include/citrongap/store/batch_appender.h
+++ b/packages/store/include/citrongap/store/batch_appender.h
@@ -59,6 +59,8 @@
   void onAnswer(StoreResult<AppendDone> result);
   void finishBatch(bool appended);
   void fail();
+  /// Another producer has used this name and epoch, or a newer one.
+  void giveUp();
 
   EventLoop &Loop;
   StorePort &Store;
--- a/packages/store/include/citrongap/store/owner_election.h
+++ b/packages/store/include/citrongap/store/owner_election.h
@@ -33,6 +33,9 @@
   /// Holds the topic, and its last join was sent within the lapse.
   bool holds() const;
   Epoch generation() const { return Generation; }
+  /// For the ownership that begins now: above all earlier ones, and no other
+  /// member can use it, since a generation gives the topic to one member.
+  Epoch nextEpoch();
   /// Each time this member starts or ceases to hold the topic.
   std::function<void(bool holds)> OnChange;
 
@@ -52,6 +55,8 @@
   bool Reported = false;
   bool Left = false;
   MonoTime ConfirmedAt;
+  /// Ownerships of this member that began in the present generation.
+  std::uint64_t Ownerships = 0;
   Timer Again;
   Timer Lapse;
   std::shared_ptr<int> Alive = std::make_shared<int>(0);
--- a/packages/store/src/batch_appender.cpp
+++ b/packages/store/src/batch_appender.cpp
@@ -75,11 +75,7 @@
   if (OnRetry)
     OnRetry(describe(error));
   if (std::holds_alternative<StoreFenced>(error)) {
-    Fenced = true;
-    const auto onFenced = OnFenced;
-    fail();
-    if (onFenced)
-      onFenced();
+    giveUp();
     return;
   }
   if (const auto *refused = std::get_if<StoreRefused>(&error);
@@ -87,15 +83,25 @@
     finishBatch(false);
     return;
   }
-  if (const auto *order = std::get_if<StoreOutOfSequence>(&error);
-      order && order->Expected > Stamp.Sequence) {
-    // Only an append of this very producer can have taken the number.
-    finishBatch(true);
+  if (const auto *order = std::get_if<StoreOutOfSequence>(&error)) {
+    // Only an earlier try of this very batch can have taken its number.
+    if (Tries > 1 && order->Expected == Stamp.Sequence + 1)
+      finishBatch(true);
+    else
+      giveUp();
     return;
   }
   Again = Loop.at(monoNow() + Terms.RetryAfter, [this] { send(); });
 }
 
+void BatchAppender::giveUp() {
+  Fenced = true;
+  const auto onFenced = OnFenced;
+  fail();
+  if (onFenced)
+    onFenced();
+}
+
 void BatchAppender::finishBatch(bool appended) {
   if (appended && !BatchRecords.empty())
     ++Stamp.Sequence;
--- a/packages/store/src/batch_appender_test.cpp
+++ b/packages/store/src/batch_appender_test.cpp
@@ -79,4 +79,20 @@
   BOOST_TEST(Appended == 1);
 }
 
+BOOST_AUTO_TEST_CASE(sequence_taken_by_another_is_not_an_answer) {
+  append("a");
+  runFor(Millis(20));
+  // A second appender under the same name and epoch starts at zero again.
+  BatchAppender twin(Loop, View, Jobs, "vm-1", Epoch(1), QuickTerms);
+  append("b");
+  runFor(Millis(20));
+  bool appended = false;
+  bool refused = false;
+  twin.append({{"c", "v"}}, [&](bool ok) { (ok ? appended : refused) = true; });
+  runFor(Millis(40));
+  BOOST_TEST(!appended);
+  BOOST_TEST(refused);
+  BOOST_TEST(Store.size(Jobs) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/store/src/owner_election.cpp
+++ b/packages/store/src/owner_election.cpp
@@ -44,6 +44,8 @@
   const auto *standing = std::get_if<GroupStanding>(&result);
   if (standing) {
     const bool changed = standing->Generation != Generation;
+    if (changed)
+      Ownerships = 0;
     Generation = standing->Generation;
     Holding = standing->Holds;
     ConfirmedAt = sentAt;
@@ -57,6 +59,13 @@
   report();
 }
 
+Epoch OwnerElection::nextEpoch() {
+  // A membership that lapses and is renewed within one generation begins a new
+  // ownership each time; far fewer than this many fit.
+  constexpr std::uint64_t OwnershipsPerGeneration = 1U << 16U;
+  return Epoch(Generation.value() * OwnershipsPerGeneration + Ownerships++);
+}
+
 void OwnerElection::report() {
   const bool now = holds();
   if (now == Reported)
