--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -32,6 +32,8 @@
   Millis FollowerSpacing{120};
   /// A long poll of the store; its end shows that nothing was missed.
   Millis FollowWait{1000};
+  /// After the wait; then a read counts as unanswered.
+  Millis FollowAnswerWithin{1000};
 };
 
 struct SiteReaders {
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -18,6 +18,7 @@
 TailTerms EntryNode::followTerms() const {
   TailTerms terms;
   terms.Wait = Settings.FollowWait;
+  terms.AnswerWithin = Settings.FollowAnswerWithin;
   return terms;
 }
 
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -79,6 +79,7 @@
       out.ConfigurationKey = "config";
       out.Servers = Servers;
       out.FollowWait = Millis(30);
+      out.FollowAnswerWithin = Millis(40);
       out.FollowerSpacing = Millis(5);
       out.Front.FreshWithin = Millis(200);
       out.Front.ConfigurationUsable = Millis(400);
--- a/packages/store/include/citrongap/store/topic_tail.h
+++ b/packages/store/include/citrongap/store/topic_tail.h
@@ -21,10 +21,7 @@
   Millis RetryAfter{150};
   /// A read with `Wait` gets so much longer to be answered; a store that takes
   /// 100 times its usual 4 ms still answers in time.
-  Millis AnswerWithin{1500};
-  /// While records may be missed, a read does not wait longer than this, so
-  /// that a silent connection is noticed.
-  Millis CheckEvery{1000};
+  Millis AnswerWithin{1000};
 };
 
 class TopicTail {
--- a/packages/store/src/topic_tail.cpp
+++ b/packages/store/src/topic_tail.cpp
@@ -87,8 +87,8 @@
     return;
   Reading = true;
   const MonoTime now = monoNow();
-  const Millis wait =
-      Working && FreshAt ? Terms.Wait : std::min(Terms.Wait, Terms.CheckEvery);
+  // Until the store answers again, a silent connection is to be noticed soon.
+  const Millis wait = Working && FreshAt ? Terms.Wait : Millis(0);
   Store.read(Topic, Next, now + wait, now + wait + Terms.AnswerWithin,
              [this, now, alive = std::weak_ptr<int>(Alive)](auto result) {
                if (alive.lock())
