--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -6,6 +6,7 @@
 #define CITRONGAP_WORKLOAD_POD_PLANNER_H
 
 #include "citrongap/policy/server_health.h"
+#include "citrongap/workload/room_making.h"
 #include "citrongap/workload/server_table.h"
 #include "citrongap/workload/vector_packing.h"
 
@@ -67,7 +68,16 @@
   double FarFactor = 3;
   /// Wait for room before lower priorities are stopped for priority 0; the
   /// bound on reclaiming less the time that a stop and a start take.
-  Millis PreemptAfter{400};
+  Millis PreemptAfter{1500};
+  /// The same for priority 0 beyond the guarantee, which no bound protects.
+  Millis UrgentPreemptAfter{3000};
+  /// Share of the servers that stay empty for priority 0 while other work can
+  /// wait without being late.
+  double UrgentReserveShare = 0.125;
+  /// Other work waits this long, or its estimate if that lies between, before
+  /// it uses servers kept for priority 0.
+  Millis MinReserveWait{2000};
+  Millis MaxReserveWait{6000};
   /// Longest wait for room near the data. Break-even is the estimate times
   /// (FarFactor - 1); estimates are off by several times.
   Millis MaxNearWait{6000};
@@ -153,7 +163,7 @@
 
 private:
   struct Unit;
-  struct Victim;
+  struct Victims;
   TaskRecord *current(const TaskName &task, std::uint32_t run,
                       const ServerLife &on);
   const TaskRecord *taskOf(const TaskName &task) const;
@@ -185,8 +195,11 @@
   /// Stops work of lower rank so that the unit fits; true when it will.
   bool preempt(const Unit &unit, std::vector<PackingServer> &view,
                MonoTime now);
-  std::map<BackendServerId, std::vector<Victim>>
-  victimsBelow(std::uint32_t rank, MonoTime now) const;
+  std::vector<Victims> victimsBelow(std::uint32_t rank,
+                                    const std::vector<PackingServer> &view,
+                                    MonoTime now) const;
+  /// Marks servers that wait for urgent work.
+  void reserveForUrgent(std::vector<PackingServer> &view) const;
   void watchRuns(MonoTime now);
   void moveOffDraining(MonoTime now);
   std::uint32_t rankOf(const PlannedWork &work) const;
--- a/packages/workload/include/citrongap/workload/vector_packing.h
+++ b/packages/workload/include/citrongap/workload/vector_packing.h
@@ -25,6 +25,8 @@
   std::uint32_t SameStep = 0;
   /// In quarantine: takes one task that is not part of a gang, as a probe.
   bool ProbeOnly = false;
+  /// Kept free for urgent work.
+  bool Reserved = false;
 };
 
 /// What is asked of a placement.
@@ -39,6 +41,8 @@
   RackId Rack;
   /// All tasks in the same rack.
   bool OneRack = false;
+  /// May use reserved servers.
+  bool UseReserved = true;
   /// Servers on which the task failed before; used last.
   std::set<BackendServerId> Avoid;
 };
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace citrongap {
 
@@ -17,6 +18,8 @@
   std::uint32_t Rank = 0;
   std::int64_t AcceptedAtMs = 0;
   MonoTime WaitingSince;
+  /// It has waited so long that it may use servers kept for urgent work.
+  bool MayUseReserved = false;
 
   auto order() const {
     return std::tuple(Rank, AcceptedAtMs, Work, Occurrence, Step);
@@ -24,11 +27,10 @@
 };
 
 /// Placed work that may be stopped for a unit of higher rank.
-struct PodPlanner::Victim {
-  TaskName Task;
-  Resources Taken;
-  /// Core-seconds that a stop throws away, the whole gang's for a member.
-  double Waste = 0;
+struct PodPlanner::Victims {
+  VictimGroup Group;
+  /// One of its tasks.
+  TaskName Any;
 };
 
 namespace {
@@ -41,6 +43,8 @@
 constexpr std::uint32_t UrgentRank = 1;
 /// Stopping a task that checkpoints loses at most about a second of work.
 constexpr double CheckpointLossSeconds = 1;
+/// A stop takes up to this long, and the work that goes on is lost as well.
+constexpr double StopSeconds = 0.9;
 
 double secondsBetween(MonoTime from, MonoTime to) {
   return static_cast<double>((to - from).count()) / 1000;
@@ -120,7 +124,7 @@
   const StepSpec &spec = work.Spec.Steps[step];
   Occurrence &occurrence = work.Record.Occurrences[k];
   const auto &tasks = occurrence.Steps[step].Tasks;
-  Unit unit{id, k, step, {}, spec.Gang, 0, 0, now};
+  Unit unit{id, k, step, {}, spec.Gang, 0, 0, now, false};
   for (std::uint32_t n = 0; n < tasks.size(); ++n) {
     if (tasks[n].Stage != TaskStage::Waiting)
       continue;
@@ -133,6 +137,9 @@
     if (!occurrence.Steps[it].done())
       return;
   unit.Rank = rankOf(work);
+  unit.MayUseReserved = now - unit.WaitingSince >=
+                        std::clamp(Millis(spec.EstimateMs),
+                                   Terms.MinReserveWait, Terms.MaxReserveWait);
   unit.AcceptedAtMs = std::max(work.Spec.AcceptedAtMs, work.Spec.dueAtMs(k));
   out.push_back(std::move(unit));
 }
@@ -184,6 +191,7 @@
   request.OneRack = nearOnly && unit.Gang && spec.OneRack;
   if (nearOnly)
     request.Rack = spec.DataRack;
+  request.UseReserved = unit.Rank <= UrgentRank || unit.MayUseReserved;
   const auto &tasks =
       work.Record.Occurrences[unit.Occurrence].Steps[unit.Step].Tasks;
   for (const std::uint32_t it : unit.Indices)
@@ -250,31 +258,39 @@
   Changed.insert(unit.Work);
 }
 
-std::map<BackendServerId, std::vector<PodPlanner::Victim>>
-PodPlanner::victimsBelow(std::uint32_t rank, MonoTime now) const {
-  std::map<BackendServerId, std::vector<Victim>> victims;
+std::vector<PodPlanner::Victims>
+PodPlanner::victimsBelow(std::uint32_t rank,
+                         const std::vector<PackingServer> &view,
+                         MonoTime now) const {
+  std::map<BackendServerId, std::size_t> indexOf;
+  for (std::size_t at = 0; at < view.size(); ++at)
+    indexOf[view[at].Id] = at;
+  std::map<TaskName, Victims> groups;
   for (const auto &[life, tasks] : Placed)
     for (const TaskName &name : tasks) {
       const PlannedWork &work = Works.at(name.Work);
       const TaskRecord &task = *taskOf(name);
-      const std::uint32_t victimRank = rankOf(work);
-      if (task.StopWanted || victimRank <= rank ||
-          (rank == UrgentRank && victimRank == UrgentRank))
+      const auto server = indexOf.find(life.Id);
+      if (task.StopWanted || rankOf(work) <= std::max(rank, UrgentRank - 1) ||
+          (rank == UrgentRank && rankOf(work) == UrgentRank) ||
+          server == indexOf.end())
         continue;
       const StepSpec &spec = work.Spec.Steps[name.Step];
+      TaskName key = name;
+      if (spec.Gang)
+        key.Index = 0;
       double seconds = secondsBetween(task.PlacedAt, now);
       if (spec.Checkpoints)
         seconds = std::min(seconds, CheckpointLossSeconds);
-      const double members = spec.Gang ? spec.Count : 1;
-      victims[life.Id].push_back(
-          {name, spec.taken(), seconds * members * coresOf(spec.Needs)});
+      Victims &group = groups[key];
+      group.Any = name;
+      group.Group.Parts.push_back({server->second, spec.taken()});
+      group.Group.Waste += (seconds + StopSeconds) * coresOf(spec.Needs);
     }
-  for (auto &[id, list] : victims)
-    std::sort(list.begin(), list.end(),
-              [](const Victim &lhs, const Victim &rhs) {
-                return lhs.Waste < rhs.Waste;
-              });
-  return victims;
+  std::vector<Victims> out;
+  for (auto &[key, it] : groups)
+    out.push_back(std::move(it));
+  return out;
 }
 
 bool PodPlanner::preempt(const Unit &unit, std::vector<PackingServer> &view,
@@ -283,48 +299,57 @@
   std::vector<PackingServer> later = view;
   for (PackingServer &it : later)
     it.Free += Servers.find(it.Id)->Stopping;
-  const auto keep = [&](const std::vector<std::size_t> &at,
-                        const Resources &each) { takeRoom(view, at, each); };
   const PackingRequest near = requestOf(unit, true);
   if (const auto found = packTasks(later, near)) {
-    keep(*found, near.Each);
+    takeRoom(view, *found, near.Each);
     return true;
   }
-  if (now - unit.WaitingSince < Terms.PreemptAfter)
+  const Millis patience = unit.Rank == GuaranteedRank
+                              ? Terms.PreemptAfter
+                              : Terms.UrgentPreemptAfter;
+  if (now - unit.WaitingSince < patience)
     return false;
-  auto victims = victimsBelow(unit.Rank, now);
-  std::vector<PackingServer> possible = later;
-  for (PackingServer &it : possible)
-    for (const Victim &victim : victims[it.Id])
-      it.Free += victim.Taken;
-  PackingRequest request = near;
-  auto found = packTasks(possible, request);
-  if (!found) {
-    request = requestOf(unit, false);
-    found = packTasks(possible, request);
-  }
-  if (!found)
+  const std::vector<Victims> victims = victimsBelow(unit.Rank, later, now);
+  std::vector<VictimGroup> groups;
+  for (const Victims &it : victims)
+    groups.push_back(it.Group);
+  auto room = makeRoom(later, groups, near);
+  if (!room)
+    room = makeRoom(later, groups, requestOf(unit, false));
+  if (!room)
     return false;
-  for (const std::size_t at : *found) {
-    PackingServer &server = later[at];
-    for (const Victim &victim : victims[server.Id]) {
-      if (request.Each.fitsIn(server.Free))
-        break;
-      TaskRecord &record = stepOf(victim.Task).Tasks[victim.Task.Index];
-      if (record.StopWanted)
-        continue;
-      server.Free += victim.Taken;
-      if (specOf(victim.Task).Gang)
-        stopGang(victim.Task, "room for guaranteed work");
-      else
-        wantStop(victim.Task, record, "room for guaranteed work");
-    }
-    server.Free -= request.Each;
+  for (const std::size_t it : room->Victims) {
+    const TaskName &name = victims[it].Any;
+    if (specOf(name).Gang)
+      stopGang(name, "room for urgent work");
+    else
+      wantStop(name, stepOf(name).Tasks[name.Index], "room for urgent work");
   }
-  keep(*found, request.Each);
+  takeRoom(view, room->Servers, near.Each);
   return true;
 }
 
+void PodPlanner::reserveForUrgent(std::vector<PackingServer> &view) const {
+  // Whole servers, in the racks with the most of them, so that gangs fit.
+  std::map<RackId, std::int64_t> wholeInRack;
+  for (const PackingServer &it : view)
+    if (it.Free == it.Capacity)
+      ++wholeInRack[it.Rack];
+  std::vector<PackingServer *> whole;
+  for (PackingServer &it : view)
+    if (it.Free == it.Capacity)
+      whole.push_back(&it);
+  std::stable_sort(whole.begin(), whole.end(),
+                   [&](const PackingServer *lhs, const PackingServer *rhs) {
+                     return std::tuple(-wholeInRack[lhs->Rack], lhs->Rack) <
+                            std::tuple(-wholeInRack[rhs->Rack], rhs->Rack);
+                   });
+  const auto count = static_cast<std::size_t>(static_cast<double>(view.size()) *
+                                              Terms.UrgentReserveShare);
+  for (std::size_t n = 0; n < std::min(count, whole.size()); ++n)
+    whole[n]->Reserved = true;
+}
+
 void PodPlanner::watchRuns(MonoTime now) {
   std::vector<TaskName> stalled;
   for (const auto &[life, tasks] : Placed)
@@ -383,7 +408,10 @@
   std::vector<Unit> units = collectWaiting(now, wallMs);
   std::vector<PackingServer> view = packingView(now);
   std::uint32_t reservations = 0;
+  bool reserved = false;
   for (Unit &unit : units) {
+    if (unit.Rank > UrgentRank && !std::exchange(reserved, true))
+      reserveForUrgent(view);
     countSameStep(unit, view);
     bool placed = false;
     if (unit.Gang) {
--- a/packages/workload/src/vector_packing.cpp
+++ b/packages/workload/src/vector_packing.cpp
@@ -85,7 +85,8 @@
 
 bool admits(const PackingServer &server, const PackingRequest &request) {
   if (*server.Service != request.Service ||
-      (server.ProbeOnly && request.Count > 1))
+      (server.ProbeOnly && request.Count > 1) ||
+      (server.Reserved && !request.UseReserved))
     return false;
   if (!request.Rack.empty() && server.Rack != request.Rack)
     return false;
