--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -70,7 +70,7 @@
   /// bound on reclaiming less the time that a stop and a start take.
   Millis PreemptAfter{1500};
   /// The same for priority 0 beyond the guarantee, which no bound protects.
-  Millis UrgentPreemptAfter{3000};
+  Millis UrgentPreemptAfter{7000};
   /// Share of the servers that stay empty for priority 0 while other work can
   /// wait without being late.
   double UrgentReserveShare = 0.125;
