Store calls go through a peer when the store refuses this entry VM

Now a peer makes the same call, harmless by the sequence number; a batch that was only refused fails after 0.4 s as 'not run'; callers with little time left get three quarters of it. Ruled out: a slow owner (it answered throughout).

--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -19,6 +19,8 @@
   EntryVmId Self;
   /// Distinguishes the lives of one entry VM in the store.
   std::string LifeId;
+  /// Where peers reach this entry VM: "IP:PORT"; empty for nowhere.
+  std::string PeerAddress;
   TopicId Jobs{"keyed.jobs"};
   TopicId Configuration;
   std::string ConfigurationKey;
@@ -26,7 +28,8 @@
   FrontTerms Front;
   ControllerTerms Controller;
   ElectionTerms Election;
-  AppenderTerms Appender;
+  /// A caller whose record is refused for 0.4 s is better off elsewhere.
+  AppenderTerms Appender{.RefusedFor = Millis(400)};
   /// Between reads of the jobs by an entry VM that is not the owner; batches
   /// the records of several appends.
   Millis FollowerSpacing{120};
@@ -48,6 +51,8 @@
             EntryNodeSettings settings, SiteReaders readers);
 
   void start();
+  /// A peer's address became known.
+  std::function<void(const EntryVmId &id, const std::string &at)> OnPeer;
   void handle(const CallerRequest &request, const RequestFront::Reply &reply);
   /// New connections may come here.
   bool ready() const;
@@ -59,12 +64,16 @@
   std::string metrics() const;
 
 private:
+  /// Tells peers where this entry VM is reached.
+  void announce();
   void onConfiguration(const KeyedRecord &record);
   void onOwnership(bool holds);
   void watch(TopicTail &tail, const char *topic);
   TailTerms followTerms() const;
 
+  EventLoop &Loop;
   EventLog &Log;
+  Timer AnnounceAgain;
   EntryNodeSettings Settings;
   SiteReaders Readers;
   WorkBoard Board;
--- a/packages/control/include/citrongap/control/work_board.h
+++ b/packages/control/include/citrongap/control/work_board.h
@@ -18,6 +18,8 @@
 std::string specKey(const WorkId &id);
 std::string stateKey(const WorkId &id);
 std::string cancelKey(const WorkId &id);
+/// Where an entry VM takes calls of its peers.
+std::string peerKey(const EntryVmId &id);
 
 struct BoardEntry {
   std::optional<WorkSpec> Spec;
@@ -46,6 +48,8 @@
 
   /// A submission or cancellation was read that was not known.
   std::function<void(const WorkId &id)> OnNews;
+  /// An entry VM tells where its peers reach it: "IP:PORT".
+  std::function<void(const EntryVmId &id, const std::string &at)> OnPeer;
 
 private:
   EventLog &Log;
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -25,11 +25,12 @@
 EntryNode::EntryNode(EventLoop &loop, StorePort &store, FleetPort &fleet,
                      EventLog &log, EntryNodeSettings settings,
                      SiteReaders readers)
-    : Log(log), Settings(std::move(settings)), Readers(std::move(readers)),
-      Board(log), JobsTail(
-                      loop, store, Settings.Jobs, followTerms(),
-                      [this](const KeyedRecord &it) { Board.apply(it); },
-                      [this] { Controller.onTailAt(JobsTail.next()); }),
+    : Loop(loop), Log(log), Settings(std::move(settings)),
+      Readers(std::move(readers)), Board(log),
+      JobsTail(
+          loop, store, Settings.Jobs, followTerms(),
+          [this](const KeyedRecord &it) { Board.apply(it); },
+          [this] { Controller.onTailAt(JobsTail.next()); }),
       ConfigurationTail(
           loop, store, Settings.Configuration, followTerms(),
           [this](const KeyedRecord &it) { onConfiguration(it); }, [] {}),
@@ -43,6 +44,10 @@
       Election(loop, store, OwnersGroup,
                Settings.Self.str() + "/" + Settings.LifeId, Settings.Jobs,
                Settings.Election) {
+  Board.OnPeer = [this](const EntryVmId &id, const std::string &at) {
+    if (OnPeer && id != Settings.Self)
+      OnPeer(id, at);
+  };
   Board.OnNews = [this](const WorkId &id) { Controller.onNews(id); };
   Election.OnChange = [this](bool holds) { onOwnership(holds); };
   FrontAppender.OnRetry = [this](const std::string &why) {
@@ -64,6 +69,17 @@
   ConfigurationTail.start();
   JobsTail.start();
   Election.start();
+  if (!Settings.PeerAddress.empty())
+    announce();
+}
+
+void EntryNode::announce() {
+  FrontAppender.append(
+      {{peerKey(Settings.Self), Settings.PeerAddress}}, [this](bool appended) {
+        if (!appended)
+          AnnounceAgain =
+              Loop.at(monoNow() + Seconds(1), [this] { announce(); });
+      });
 }
 
 void EntryNode::onConfiguration(const KeyedRecord &record) {
--- /dev/null
+++ b/packages/control/src/peer_http.cpp
@@ -0,0 +1,65 @@
+// The relay's calls over kept HTTP connections.
+#include "citrongap/control/peer_http.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace citrongap {
+
+namespace {
+
+constexpr const char *RelayPath = "/relay";
+constexpr const char *WaitHeader = "Wait-Ms";
+/// A peer's call waits at most as long as the longest poll and its answer.
+constexpr Millis LongestWait{15000};
+
+Millis waitOf(const HttpRequest &request) {
+  const std::string text = headerOf(request.Headers, WaitHeader);
+  std::int64_t ms = 0;
+  std::from_chars(text.data(), text.data() + text.size(), ms);
+  return std::clamp(Millis(ms), Millis(0), LongestWait);
+}
+
+} // namespace
+
+PeerTransport peerTransport(HttpClient &http) {
+  return [&http](const Endpoint &peer, std::string bytes, MonoTime deadline,
+                 std::function<void(std::optional<std::string>)> done) {
+    HttpRequest request;
+    request.Method = "POST";
+    request.Target = RelayPath;
+    request.Body = std::move(bytes);
+    request.Headers.emplace_back("Content-Type", "application/octet-stream");
+    request.Headers.emplace_back(
+        WaitHeader, std::to_string((deadline - monoNow()).count()));
+    http.call(peer, std::move(request), deadline,
+              [done = std::move(done)](HttpResult result) {
+                auto *response = std::get_if<HttpResponse>(&result);
+                if (response && response->Status == 200)
+                  done(std::move(response->Body));
+                else
+                  done(std::nullopt);
+              });
+  };
+}
+
+HttpServer::Handler peerHandler(const RelayedStore &relayed, StorePort &store) {
+  return [&relayed, &store](const HttpRequest &request,
+                            const HttpResponder &responder) {
+    if (request.Method != "POST" || pathOf(request.Target) != RelayPath) {
+      responder.send({404, R"({"error":"no such path"})"});
+      return;
+    }
+    const auto reply = [responder](std::string bytes) {
+      responder.send({200, std::move(bytes), "application/octet-stream"});
+    };
+    if (!relayed.directWorks()) {
+      reply(encode(StoreReply(StoreError(StoreBusy{0}))));
+      return;
+    }
+    serveStoreCall(store, request.Body, monoNow() + waitOf(request), reply);
+  };
+}
+
+} // namespace citrongap
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -211,7 +211,11 @@
         finish(id, answer);
       });
   waiting.Ticket = Appender.lastTicket();
-  waiting.GiveUp = Loop.at(deadline - Terms.AnswerMargin, [this, id] {
+  // A caller that waits shorter than the margin still gets most of its time.
+  const MonoTime now = monoNow();
+  const MonoTime giveUp =
+      std::max(deadline - Terms.AnswerMargin, now + (deadline - now) * 3 / 4);
+  waiting.GiveUp = Loop.at(giveUp, [this, id] {
     const auto it = Pending.find(id);
     if (it == Pending.end())
       return;
--- a/packages/control/src/work_board.cpp
+++ b/packages/control/src/work_board.cpp
@@ -1,5 +1,5 @@
 // Keys are a letter for the kind and the job's id: "j/" submission, "s/"
-// state, "c/" cancellation.
+// state, "c/" cancellation; "v/" and an entry VM's id for its address.
 #include "citrongap/control/work_board.h"
 
 #include <utility>
@@ -9,13 +9,19 @@
 std::string specKey(const WorkId &id) { return "j/" + id.str(); }
 std::string stateKey(const WorkId &id) { return "s/" + id.str(); }
 std::string cancelKey(const WorkId &id) { return "c/" + id.str(); }
+std::string peerKey(const EntryVmId &id) { return "v/" + id.str(); }
 
 void WorkBoard::apply(const KeyedRecord &record) {
   const auto slash = record.Key.find('/');
   if (slash != 1)
     return;
-  const WorkId id(record.Key.substr(2));
   const char kind = record.Key[0];
+  if (kind == 'v') {
+    if (record.Value && OnPeer)
+      OnPeer(EntryVmId(record.Key.substr(2)), *record.Value);
+    return;
+  }
+  const WorkId id(record.Key.substr(2));
   if (!record.Value) {
     if (kind == 'j')
       Entries.erase(id);
--- a/packages/store/include/citrongap/store/batch_appender.h
+++ b/packages/store/include/citrongap/store/batch_appender.h
@@ -16,8 +16,11 @@
 
 struct AppenderTerms {
   /// One try; a slow store answers after 0.4 s, a silent one never.
-  Millis AnswerWithin{1200};
+  Millis AnswerWithin{700};
   Millis RetryAfter{100};
+  /// A batch that was refused for so long, and certainly not appended, fails;
+  /// zero for never.
+  Millis RefusedFor{0};
   /// Of one batch; below the store's limit of 2 MiB a call.
   std::size_t MaxBatchBytes = 1U << 20U;
 };
@@ -74,6 +77,9 @@
   bool InFlight = false;
   bool Fenced = false;
   int Tries = 0;
+  /// A try of the batch in flight had no answer.
+  bool Uncertain = false;
+  MonoTime FirstTryAt;
   std::uint64_t NextTicket = 1;
   LogOffset End;
   Timer Again;
--- a/packages/store/src/batch_appender.cpp
+++ b/packages/store/src/batch_appender.cpp
@@ -53,6 +53,8 @@
   }
   InFlight = true;
   Tries = 0;
+  Uncertain = false;
+  FirstTryAt = monoNow();
   send();
 }
 
@@ -74,6 +76,14 @@
   const StoreError &error = std::get<StoreError>(result);
   if (OnRetry)
     OnRetry(describe(error));
+  if (std::holds_alternative<StoreSilent>(error))
+    Uncertain = true;
+  if (std::holds_alternative<StoreBusy>(error) && !Uncertain &&
+      Terms.RefusedFor.count() > 0 &&
+      monoNow() - FirstTryAt >= Terms.RefusedFor) {
+    finishBatch(false);
+    return;
+  }
   if (std::holds_alternative<StoreFenced>(error)) {
     giveUp();
     return;
--- a/packages/store/src/batch_appender_test.cpp
+++ b/packages/store/src/batch_appender_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 const TopicId Jobs("keyed.jobs");
-constexpr AppenderTerms QuickTerms{Millis(30), Millis(5), 1U << 20U};
+constexpr AppenderTerms QuickTerms{Millis(30), Millis(5)};
 
 struct Fixture {
   EventLoop Loop;
@@ -52,6 +52,34 @@
   BOOST_TEST(Store.size(Jobs) == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(batch_that_is_only_refused_fails_and_is_never_appended) {
+  BatchAppender impatient(Loop, View, Jobs, "vm-3", Epoch(1),
+                          {Millis(30), Millis(5), Millis(20)});
+  View.Faults.Busy = true;
+  int failed = 0;
+  impatient.append({{"a", "v"}}, [&](bool ok) { failed += ok ? 0 : 1; });
+  runFor(Millis(60));
+  BOOST_TEST(failed == 1);
+  View.Faults.Busy = false;
+  impatient.append({{"b", "v"}}, nullptr);
+  runFor(Millis(60));
+  BOOST_REQUIRE(Store.size(Jobs) == 1U);
+  BOOST_TEST(Store.records(Jobs)[0].Key == "b");
+}
+
+BOOST_AUTO_TEST_CASE(batch_that_may_be_appended_does_not_fail) {
+  BatchAppender impatient(Loop, View, Jobs, "vm-3", Epoch(1),
+                          {Millis(30), Millis(5), Millis(20)});
+  View.Faults.LoseAnswers = true;
+  int answers = 0;
+  impatient.append({{"a", "v"}}, [&](bool) { ++answers; });
+  runFor(Millis(45));
+  View.Faults.LoseAnswers = false;
+  View.Faults.Busy = true;
+  runFor(Millis(60));
+  BOOST_TEST(answers == 0);
+}
+
 BOOST_AUTO_TEST_CASE(older_epoch_appends_nothing_after_a_newer_one) {
   append("a");
   runFor(Millis(20));
--- /dev/null
+++ b/packages/store/src/store_relay_codec.cpp
@@ -0,0 +1,96 @@
+// Calls and replies of the relay as bytes, by cereal.
+#include "citrongap/store/store_relay.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+namespace citrongap {
+
+template <typename Archive> void serialize(Archive &ar, KeyedRecord &it) {
+  ar(it.Key, it.Value);
+}
+template <typename Archive> void serialize(Archive &ar, AppendStamp &it) {
+  ar(it.Producer, it.At, it.Sequence);
+}
+template <typename Archive> void serialize(Archive &ar, AppendCall &it) {
+  ar(it.Topic, it.Stamp, it.Records);
+}
+template <typename Archive> void serialize(Archive &ar, ReadCall &it) {
+  ar(it.Topic, it.From, it.WaitMs);
+}
+template <typename Archive> void serialize(Archive &ar, NewestCall &it) {
+  ar(it.Topic, it.AfterKey);
+}
+template <typename Archive> void serialize(Archive &ar, JoinCall &it) {
+  ar(it.Group, it.Member, it.Topic, it.LapseAfterMs, it.Last);
+}
+template <typename Archive> void serialize(Archive &ar, AppendDone &it) {
+  ar(it.End);
+}
+template <typename Archive> void serialize(Archive &ar, TopicPage &it) {
+  ar(it.FirstRetained, it.End, it.Records, it.Next);
+}
+template <typename Archive> void serialize(Archive &ar, NewestPage &it) {
+  ar(it.Records, it.More, it.End);
+}
+template <typename Archive> void serialize(Archive &ar, GroupStanding &it) {
+  ar(it.Generation, it.Holds);
+}
+template <typename Archive> void serialize(Archive &ar, StoreBusy &it) {
+  ar(it.Status);
+}
+template <typename Archive> void serialize(Archive &ar, StoreSilent &it) {
+  ar(it.Reason);
+}
+template <typename Archive> void serialize(Archive &, StoreFenced &) {}
+template <typename Archive>
+void serialize(Archive &ar, StoreOutOfSequence &it) {
+  ar(it.Expected);
+}
+template <typename Archive> void serialize(Archive &ar, StoreCut &it) {
+  ar(it.First);
+}
+template <typename Archive> void serialize(Archive &ar, StoreRefused &it) {
+  ar(it.Status, it.Detail);
+}
+
+namespace {
+
+template <typename T> std::string toBytes(const T &value) {
+  std::ostringstream out(std::ios::binary);
+  cereal::PortableBinaryOutputArchive ar(out);
+  ar(value);
+  return std::move(out).str();
+}
+
+template <typename T> std::optional<T> fromBytes(const std::string &bytes) {
+  std::istringstream in(bytes, std::ios::binary);
+  T value;
+  // cereal reports malformed input by exceptions; the caller logs it.
+  try {
+    cereal::PortableBinaryInputArchive ar(in);
+    ar(value);
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+} // namespace
+
+std::string encode(const StoreCall &call) { return toBytes(call); }
+std::string encode(const StoreReply &reply) { return toBytes(reply); }
+
+std::optional<StoreCall> decodeStoreCall(const std::string &bytes) {
+  return fromBytes<StoreCall>(bytes);
+}
+
+std::optional<StoreReply> decodeStoreReply(const std::string &bytes) {
+  return fromBytes<StoreReply>(bytes);
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/store/src/store_relay_test.cpp
@@ -0,0 +1,107 @@
+// An entry VM that the store refuses goes on through a peer, and says "nothing
+// was done" only when that holds on every way.
+#include "citrongap/store/memory_store.h"
+#include "citrongap/store/store_relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace citrongap;
+
+namespace {
+
+const TopicId Jobs("keyed.jobs");
+
+struct Fixture {
+  EventLoop Loop;
+  MemoryStore Store{Loop};
+  MemoryStoreView Refused{Store};
+  MemoryStoreView Served{Store};
+  bool PeerAway = false;
+  RelayedStore Relay{
+      Loop, Refused,
+      [this](const Endpoint &, std::string bytes, MonoTime deadline,
+             std::function<void(std::optional<std::string>)> done) {
+        if (PeerAway) {
+          Late.push_back(Loop.at(deadline, [done] { done(std::nullopt); }));
+          return;
+        }
+        serveStoreCall(Served, bytes, deadline,
+                       [done](std::string reply) { done(std::move(reply)); });
+      },
+      RelayTerms{Millis(20), Millis(60), 3, Millis(30)}};
+  std::vector<Timer> Late;
+
+  Fixture() { Relay.setPeer("vm-2", {"10.0.0.2", 1}); }
+
+  StoreResult<AppendDone> append(std::uint64_t sequence) {
+    std::optional<StoreResult<AppendDone>> out;
+    Relay.append(Jobs, {"vm-1", Epoch(1), sequence}, {{"k", "v"}},
+                 monoNow() + Millis(80), [&](auto it) { out = std::move(it); });
+    for (int n = 0; n < 30 && !out; ++n)
+      Loop.runUntil(monoNow() + Millis(5));
+    BOOST_REQUIRE(out);
+    return *out;
+  }
+  static bool done(const StoreResult<AppendDone> &it) {
+    return std::holds_alternative<AppendDone>(it);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(store_relay, Fixture)
+
+BOOST_AUTO_TEST_CASE(refused_append_is_made_by_a_peer) {
+  Refused.Faults.Busy = true;
+  BOOST_TEST(done(append(0)));
+  BOOST_TEST(Store.size(Jobs) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(append_without_an_answer_is_made_once) {
+  Refused.Faults.LoseAnswers = true;
+  BOOST_TEST(done(append(0)));
+  BOOST_TEST(done(append(1)));
+  BOOST_TEST(Store.size(Jobs) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(silent_store_is_reached_through_a_peer) {
+  Refused.Faults.Silent = true;
+  BOOST_TEST(done(append(0)));
+  std::optional<std::size_t> seen;
+  Relay.read(Jobs, LogOffset(0), monoNow(), monoNow() + Millis(200),
+             [&](StoreResult<TopicPage> it) {
+               if (auto *page = std::get_if<TopicPage>(&it))
+                 seen = page->Records.size();
+             });
+  Loop.runUntil(monoNow() + Millis(150));
+  BOOST_TEST(seen.value_or(0) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_done_is_said_only_when_no_way_was_silent) {
+  Refused.Faults.Busy = true;
+  PeerAway = true;
+  const auto result = append(0);
+  BOOST_REQUIRE(!done(result));
+  BOOST_TEST(std::holds_alternative<StoreSilent>(std::get<StoreError>(result)));
+}
+
+BOOST_AUTO_TEST_CASE(direct_way_is_used_again_when_it_works) {
+  int changes = 0;
+  Relay.OnRelaying = [&](bool, const std::string &) { ++changes; };
+  Refused.Faults.Busy = true;
+  BOOST_TEST(done(append(0)));
+  Refused.Faults.Busy = false;
+  Loop.runUntil(monoNow() + Millis(80));
+  BOOST_TEST(done(append(1)));
+  BOOST_TEST(changes == 2);
+}
+
+BOOST_AUTO_TEST_CASE(malformed_call_is_refused) {
+  std::optional<StoreReply> reply;
+  serveStoreCall(Served, "nonsense", monoNow(),
+                 [&](const std::string &it) { reply = decodeStoreReply(it); });
+  BOOST_REQUIRE(reply);
+  BOOST_TEST(std::holds_alternative<StoreError>(*reply));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
