A server listed after a take-over is told of the stops decided before

Each reading of a server's lists now stops what is no longer wanted. Ruled out: lost stop orders (they are repeated), the lapse of leases.

--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -99,6 +99,8 @@
   void onPoll(MonoTime sentAt, std::uint64_t told, bool isPoll,
               FleetResult<PollAnswer> result);
   void takeLists(MonoTime sentAt, const PollAnswer &answer);
+  void startUnanswered();
+  void stopUnwanted();
   void takeRunning(const ListedRun &run, MonoTime now);
   void takeEnd(const ListedEnd &end, MonoTime now);
   void takeMissing(MonoTime sentAt, const PollAnswer &answer, MonoTime now);
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -313,6 +313,22 @@
   BOOST_TEST(state("vm-2") == "completed");
 }
 
+BOOST_AUTO_TEST_CASE(run_on_a_server_listed_after_the_cancel_is_stopped) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.running() == 1U);
+  // The successor does not know the server when the job is cancelled.
+  Store.put(Servers, {"i-1", std::nullopt});
+  kill("vm-1");
+  runFor(Millis(200));
+  BOOST_TEST(call("vm-2", CallerVerb::Cancel, Job) == "cancelled");
+  runFor(Millis(50));
+  BOOST_TEST(Fleet.running() == 1U);
+  Store.put(Servers, {"i-1", "ready"});
+  runFor(Millis(150));
+  BOOST_TEST(Fleet.running() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(draining_server_gets_no_new_work) {
   Store.put(Servers, {"i-1", "draining"});
   runFor(Millis(80));
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -113,14 +113,9 @@
     if (it.Number > SeenUpTo)
       takeEnd(it, now);
   takeMissing(sentAt, answer, now);
-  if (first) {
-    std::vector<TaskName> unanswered;
-    for (const auto &[task, it] : Deliveries)
-      if (!it.AnsweredAt && !it.InFlight)
-        unanswered.push_back(task);
-    for (const TaskName &it : unanswered)
-      sendStart(it);
-  }
+  if (first)
+    startUnanswered();
+  stopUnwanted();
   if (SeenUpTo > before)
     Tell.Changed();
   // Ends are listed again until they are recorded; a pause keeps the poll from
@@ -132,6 +127,25 @@
     wake();
 }
 
+void ServerLink::startUnanswered() {
+  std::vector<TaskName> unanswered;
+  for (const auto &[task, it] : Deliveries)
+    if (!it.AnsweredAt && !it.InFlight)
+      unanswered.push_back(task);
+  for (const TaskName &it : unanswered)
+    sendStart(it);
+}
+
+void ServerLink::stopUnwanted() {
+  // Stops that were decided before this link was there.
+  std::vector<StopOrder> unwanted;
+  for (const auto &[task, it] : Deliveries)
+    if (!it.StopWanted && !Planner.wanted(task, it.Order.Run, Life))
+      unwanted.push_back({task, it.Order.Run, Life, "no longer wanted"});
+  for (const StopOrder &it : unwanted)
+    stop(it);
+}
+
 void ServerLink::takeRunning(const ListedRun &run, MonoTime now) {
   Planner.progressed(run.Task, run.Run, Life, run.Percent, now);
   const auto found = Deliveries.find(run.Task);
