An order that never left the entry VM is not uncertain

The HTTP client tells a connection that could not be opened (seen in libevent: no status and no error) from one that broke.

--- a/packages/control/include/citrongap/control/fleet_port.h
+++ b/packages/control/include/citrongap/control/fleet_port.h
@@ -49,6 +49,10 @@
 struct ServerSilent {
   std::string Reason;
 };
+/// The order never left: it was not done and will not be.
+struct ServerUnreached {
+  std::string Reason;
+};
 /// Another life of the server answered; this one is over.
 struct ServerReborn {};
 /// The server has obeyed a newer owner.
@@ -59,8 +63,8 @@
   std::string Reason;
 };
 
-using FleetError =
-    std::variant<ServerSilent, ServerReborn, ServerFenced, OrderRefused>;
+using FleetError = std::variant<ServerSilent, ServerUnreached, ServerReborn,
+                                ServerFenced, OrderRefused>;
 template <typename T> using FleetResult = std::variant<T, FleetError>;
 template <typename T> using FleetCallback = std::function<void(FleetResult<T>)>;
 
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -77,6 +77,8 @@
     /// have been carried out, or be carried out later, whatever later tries
     /// are told.
     bool Uncertain = false;
+    /// Tries that certainly did not reach the server.
+    int Unreached = 0;
     /// When the server confirmed the start.
     std::optional<MonoTime> AnsweredAt;
     std::optional<MonoTime> StopAnsweredAt;
@@ -84,6 +86,11 @@
     bool StopInFlight = false;
     const char *StopReason = "";
     Timer Retry;
+
+    /// The server has certainly not seen the start.
+    bool neverSent() const {
+      return !Uncertain && !InFlight && !AnsweredAt && Unreached > 0;
+    }
   };
 
   void sendStart(const TaskName &task);
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -329,6 +329,16 @@
   BOOST_TEST(Fleet.running() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(task_goes_elsewhere_at_once_when_its_start_never_left) {
+  Fleet.at("i-1").Unreached = true;
+  BOOST_TEST(submit("vm-1") == "accepted");
+  Store.put(Servers, {"i-2", "ready"});
+  // Well within the lease, which only an uncertain start has to wait for.
+  runFor(Millis(150));
+  BOOST_TEST(Fleet.at("i-2").Running.size() == 1U);
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(draining_server_gets_no_new_work) {
   Store.put(Servers, {"i-1", "draining"});
   runFor(Millis(80));
--- a/packages/control/src/fake_fleet.cpp
+++ b/packages/control/src/fake_fleet.cpp
@@ -84,6 +84,10 @@
                       Epoch token, MonoTime deadline,
                       FleetCallback<OrderDone> done) {
   Server &it = Servers[order.Server.Id];
+  if (it.Unreached) {
+    answer<OrderDone>(it, done, FleetError(ServerUnreached{}), deadline);
+    return;
+  }
   if (it.HoldStarts) {
     it.Held.emplace_back(order, token);
     Soon.push_back(
@@ -118,6 +122,10 @@
                      const PollRequest &request, Epoch token, MonoTime deadline,
                      FleetCallback<PollAnswer> done) {
   Server &it = Servers[life.Id];
+  if (it.Unreached) {
+    answer<PollAnswer>(it, done, FleetError(ServerUnreached{}), deadline);
+    return;
+  }
   if (!it.Silent && token < it.Token) {
     answer<PollAnswer>(it, done, FleetError(ServerFenced{}), deadline);
     return;
--- a/packages/control/src/fake_fleet.h
+++ b/packages/control/src/fake_fleet.h
@@ -35,6 +35,8 @@
     /// Starts get no answer, and are kept to be carried out later.
     bool HoldStarts = false;
     std::vector<std::pair<StartOrder, Epoch>> Held;
+    /// Connections are refused.
+    bool Unreached = false;
     /// Starts are refused for want of room.
     bool Full = false;
   };
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -15,6 +15,7 @@
   return std::visit(
       Overloaded{
           [](const ServerSilent &it) { return "no answer: " + it.Reason; },
+          [](const ServerUnreached &it) { return "not sent: " + it.Reason; },
           [](const ServerReborn &) { return std::string("another life"); },
           [](const ServerFenced &) { return std::string("fenced"); },
           [](const OrderRefused &it) { return "refused: " + it.Reason; }},
@@ -49,9 +50,19 @@
   if (it.Order.Run != order.Run) {
     it = Delivery{};
     it.Order = {order.Task, order.Run, Life, "", ""};
+    it.Uncertain = true;
   }
   it.StopWanted = true;
   it.StopReason = order.Reason;
+  if (it.neverSent()) {
+    it.Retry.cancel();
+    const TaskName task = order.Task;
+    const std::uint32_t run = order.Run;
+    Deliveries.erase(task);
+    Planner.runMissing(task, run, Life, monoNow());
+    Tell.Changed();
+    return;
+  }
   sendStop(order.Task);
   wake();
 }
@@ -133,8 +144,14 @@
       Planner.startRefused(task, run, Life, refused->Why, now);
     }
     Tell.Changed();
+  } else if (known && std::holds_alternative<ServerUnreached>(error) &&
+             !found->second.Uncertain && ++found->second.Unreached > 1) {
+    Deliveries.erase(found);
+    Planner.startRefused(task, run, Life, StartRefusal::NoRoom, now);
+    Tell.Changed();
   } else if (known) {
-    found->second.Uncertain = true;
+    if (!std::holds_alternative<ServerUnreached>(error))
+      found->second.Uncertain = true;
     found->second.Retry =
         Loop.at(now + Terms.RetryAfter, [this, task] { sendStart(task); });
   }
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -60,8 +60,9 @@
 /// A response counts as whole only when its declared length arrived.
 HttpResult readResponse(evhttp_request *request) {
   const int status = evhttp_request_get_response_code(request);
+  // Without an error of its own: the connection could not be opened.
   if (status == 0)
-    return HttpError::Broken;
+    return HttpError::NotSent;
   const char *length = evhttp_find_header(
       evhttp_request_get_input_headers(request), "Content-Length");
   HttpResponse response;
--- a/packages/net/src/http_test.cpp
+++ b/packages/net/src/http_test.cpp
@@ -9,6 +9,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -65,6 +66,22 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(refused_connection_means_that_nothing_was_sent) {
+  EventLoop loop;
+  HttpClient client(loop, testing::loopbackIp());
+  // No server listens there.
+  std::optional<HttpResult> result;
+  client.call({Server.Ip, ServerPort + 1}, {"GET", "/"}, monoNow() + Seconds(2),
+              [&](HttpResult it) {
+                result = std::move(it);
+                loop.stop();
+              });
+  loop.runUntil(monoNow() + Seconds(3));
+  BOOST_REQUIRE(result);
+  BOOST_REQUIRE(std::holds_alternative<HttpError>(*result));
+  BOOST_TEST((std::get<HttpError>(*result) == HttpError::NotSent));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_gets_its_answer) {
   EventLoop loop;
   HttpServer server(
