--- a/packages/net/src/http_test.cpp
+++ b/packages/net/src/http_test.cpp
@@ -71,7 +71,9 @@
   HttpClient client(loop, testing::loopbackIp());
   // No server listens there.
   std::optional<HttpResult> result;
-  client.call({Server.Ip, ServerPort + 1}, {"GET", "/"}, monoNow() + Seconds(2),
+  HttpRequest request;
+  request.Target = "/";
+  client.call({Server.Ip, ServerPort + 1}, request, monoNow() + Seconds(2),
               [&](HttpResult it) {
                 result = std::move(it);
                 loop.stop();
