Callers of an unreachable store return after 2 s; its return is seen at once

Cause (Lahore's incident inc-f566): for 4.2 s the store reset every connection; callers told to return after 1 s used up their five tries within 2.9 s, and the entry VMs took up to 0.33 s to notice its return, since calls went to peers that had lost it too. Ruled out: relay, owner (it took over 0.15 s after the return).

--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -12,8 +12,9 @@
 namespace {
 
 constexpr std::size_t WorkIdDigits = 16;
-/// A store that does not answer is asked again within this time.
-constexpr Millis StoreRetry{1000};
+/// Outages of the store last some seconds, and callers return a few times only;
+/// half of this would use up their tries before it is back.
+constexpr Millis StoreRetry{2000};
 
 bool isWorkId(const std::string &text) {
   return text.size() == WorkIdDigits &&
--- a/packages/store/src/store_relay.cpp
+++ b/packages/store/src/store_relay.cpp
@@ -191,6 +191,8 @@
   }
   if (attempt->Pending > 0)
     return;
+  // No peer helps: the direct way is as good, and shows the store's return.
+  AvoidDirectUntil = MonoTime();
   // "Busy" promises that nothing was done, on any way.
   if (attempt->Uncertain && std::holds_alternative<StoreBusy>(error))
     finish(attempt, StoreError(StoreSilent{"one way did not answer"}));
--- a/packages/store/src/store_relay_test.cpp
+++ b/packages/store/src/store_relay_test.cpp
@@ -96,6 +96,15 @@
   BOOST_TEST(changes == 2);
 }
 
+BOOST_AUTO_TEST_CASE(return_of_the_store_is_seen_by_the_next_call) {
+  Refused.Faults.Busy = true;
+  Served.Faults.Busy = true;
+  BOOST_TEST(!done(append(0)));
+  Refused.Faults.Busy = false;
+  // The peer is still refused, and the direct way was avoided until now.
+  BOOST_TEST(done(append(0)));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_call_is_refused) {
   std::optional<StoreReply> reply;
   serveStoreCall(Served, "nonsense", monoNow(),
