--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -28,7 +28,7 @@
   /// work after 2 s.
   Millis ServerListEvery{250};
   /// An earlier owner may renew leases for so long after losing ownership.
-  Millis OwnershipLapse{2000};
+  Millis OwnershipLapse{1500};
   /// Ended jobs are answered for at least so long.
   Millis KeepEnded{150000};
   /// An entry that vanished is waited for so long; from the platform's pages.
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -30,7 +30,12 @@
       JobsTail(
           loop, store, Settings.Jobs, followTerms(),
           [this](const KeyedRecord &it) { Board.apply(it); },
-          [this] { Controller.onTailAt(JobsTail.next()); }),
+          [this] {
+            // Who does not know the jobs yet would be slow to take over.
+            if (JobsTail.freshAt())
+              Election.start();
+            Controller.onTailAt(JobsTail.next());
+          }),
       ConfigurationTail(
           loop, store, Settings.Configuration, followTerms(),
           [this](const KeyedRecord &it) { onConfiguration(it); }, [] {}),
@@ -68,7 +73,6 @@
   JobsTail.setSpacing(Settings.FollowerSpacing);
   ConfigurationTail.start();
   JobsTail.start();
-  Election.start();
   if (!Settings.PeerAddress.empty())
     announce();
 }
--- a/packages/store/include/citrongap/store/owner_election.h
+++ b/packages/store/include/citrongap/store/owner_election.h
@@ -15,9 +15,9 @@
 
 struct ElectionTerms {
   /// Without a join for so long, the store gives the topic to another member.
-  Millis LapseAfter{2000};
-  /// Between joins; three fit into the lapse.
-  Millis JoinEvery{600};
+  Millis LapseAfter{1500};
+  /// Between joins; a topic that was left is noticed with the next one.
+  Millis JoinEvery{300};
   Millis AnswerWithin{600};
   Millis RetryAfter{150};
   /// A small VM joins only when nobody has held the topic for two looks.
@@ -30,6 +30,7 @@
   OwnerElection(EventLoop &loop, StorePort &store, std::string group,
                 std::string member, TopicId topic, ElectionTerms terms);
 
+  /// Later calls do nothing.
   void start();
   /// Leaves the group, so that another member takes over at once.
   void leave();
@@ -58,6 +59,7 @@
   Epoch Generation;
   bool Holding = false;
   bool Reported = false;
+  bool Started = false;
   bool Left = false;
   MonoTime ConfirmedAt;
   /// Ownerships of this member that began in the present generation.
--- a/packages/store/src/owner_election.cpp
+++ b/packages/store/src/owner_election.cpp
@@ -12,6 +12,8 @@
       Member(std::move(member)), Topic(std::move(topic)), Terms(terms) {}
 
 void OwnerElection::start() {
+  if (Left || std::exchange(Started, true))
+    return;
   if (Terms.Reluctant)
     Again = Loop.at(monoNow() + Terms.LookEvery, [this] { look(); });
   else
