--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -361,8 +361,10 @@
     const auto link = Links.find(it.Server);
     if (link == Links.end())
       continue;
-    Log("order", "start", "task={} run={} server={} resumed={}", it.Task.str(),
-        it.Run, it.Server.Id.str(), !it.Checkpoint.empty());
+    Log("order", "start",
+        "task={} run={} server={} resumed={} rank={} waited_ms={} near={}",
+        it.Task.str(), it.Run, it.Server.Id.str(), !it.Checkpoint.empty(),
+        it.Rank, it.Waited.count(), it.Near);
     link->second->start(it);
   }
 }
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -49,7 +49,7 @@
   Delivery &it = Deliveries[order.Task];
   if (it.Order.Run != order.Run) {
     it = Delivery{};
-    it.Order = {order.Task, order.Run, Life, "", ""};
+    it.Order = {order.Task, order.Run, Life, "", "", 0, Millis(0), true};
     it.Uncertain = true;
   }
   it.StopWanted = true;
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -48,6 +48,11 @@
   ServerLife Server;
   std::string Payload;
   std::string Checkpoint;
+  /// What decided it, for the log: rank in the order of waiting work, time
+  /// waited, and whether it is near its data or in one rack as asked.
+  std::uint32_t Rank = 0;
+  Millis Waited{0};
+  bool Near = true;
 };
 
 struct StopOrder {
@@ -197,7 +202,7 @@
   bool place(const Unit &unit, std::vector<PackingServer> &view, MonoTime now,
              PlannedRound &round);
   void start(const Unit &unit, const std::vector<PackingServer> &view,
-             const std::vector<std::size_t> &at, MonoTime now,
+             const std::vector<std::size_t> &at, bool near, MonoTime now,
              PlannedRound &round);
   /// Stops work of lower rank so that the unit fits; true when it will.
   bool preempt(const Unit &unit, std::vector<PackingServer> &view,
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -215,7 +215,8 @@
         work.Record.Occurrences[it.Occurrence].Steps[it.Step];
     const bool gang = work.Spec.Steps[it.Step].Gang;
     out.push_back({it, record.Run, life, work.Spec.Payload,
-                   gang ? step.Tasks.front().Checkpoint : record.Checkpoint});
+                   gang ? step.Tasks.front().Checkpoint : record.Checkpoint,
+                   0, Millis(0), true});
   }
   return out;
 }
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -206,6 +206,7 @@
   const PackingRequest near = requestOf(unit, true);
   const bool picky = near.OneRack || !near.Rack.empty();
   auto found = packTasks(view, near);
+  const bool isNear = found.has_value();
   if (!found && picky) {
     const auto breakEven = Millis(static_cast<std::int64_t>(
         static_cast<double>(spec.EstimateMs) * (Terms.FarFactor - 1)));
@@ -217,13 +218,13 @@
   if (!found)
     return false;
   takeRoom(view, *found, near.Each);
-  start(unit, view, *found, now, round);
+  start(unit, view, *found, isNear, now, round);
   return true;
 }
 
 void PodPlanner::start(const Unit &unit, const std::vector<PackingServer> &view,
-                       const std::vector<std::size_t> &at, MonoTime now,
-                       PlannedRound &round) {
+                       const std::vector<std::size_t> &at, bool near,
+                       MonoTime now, PlannedRound &round) {
   PlannedWork &work = Works.at(unit.Work);
   StepRecord &step = work.Record.Occurrences[unit.Occurrence].Steps[unit.Step];
   const StepSpec &spec = work.Spec.Steps[unit.Step];
@@ -251,7 +252,8 @@
     const TaskName name{unit.Work, unit.Occurrence, unit.Step, index};
     Placed[task.Server].insert(name);
     round.Starts.push_back(
-        {name, run, task.Server, work.Spec.Payload, checkpoint});
+        {name, run, task.Server, work.Spec.Payload, checkpoint, unit.Rank,
+         now - task.WaitingSince, near});
   }
   if (work.Record.Phase == WorkPhase::Queued)
     work.Record.Phase = WorkPhase::Running;
