--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -93,7 +93,7 @@
   /// Waiting time from which racks are kept free for a gang.
   Millis ReserveAfter{1000};
   /// Gangs for which racks are kept free at one time.
-  std::uint32_t MaxReservations = 2;
+  std::uint32_t MaxReservations = 4;
   /// Without progress for so long, a run is restarted elsewhere; two reports
   /// of a server lie within 2 s each.
   Millis StalledAfter{5000};
