An entry of a past life does not displace the machine's present one

The life that was born last now counts, and lives that are over stay over. Ruled out: leases (they had not lapsed), the stop of unwanted runs.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -69,6 +69,8 @@
   void activate();
   void adopt(const WorkId &id);
   void onServerRecord(const KeyedRecord &record);
+  /// The entry is of a life that has ended; ends the one before a new life.
+  bool isOver(const ServerEntry &entry);
   void addLink(const ServerEntry &entry);
   void dropServer(const ServerLife &life, const char *reason);
   void dropVanished();
@@ -109,6 +111,10 @@
   std::map<BackendServerId, ServerEntry> Listed;
   /// Entries that vanished while the server may live, and since when.
   std::map<BackendServerId, MonoTime> Vanished;
+  /// The life that began last on each machine.
+  std::map<std::string, ServerLife> LatestLives;
+  /// Lives that have ended; their entries may still be read.
+  std::set<ServerLife> OverLives;
   std::map<ClientAccountId, std::int64_t> Guarantees;
   /// The jobs topic must be read up to here before acting.
   std::optional<LogOffset> CatchUpTo;
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <sstream>
 
 using namespace citrongap;
 
@@ -35,12 +36,17 @@
 }
 
 Checked<ServerEntry> readServer(const KeyedRecord &record) {
+  // "STATE", or "STATE BORN MACHINE".
+  std::istringstream value(record.Value.value_or(""));
+  std::string state;
+  std::int64_t born = 1;
   ServerEntry entry;
-  entry.Life = {BackendServerId(record.Key), 1};
+  value >> state >> born >> entry.Machine;
+  entry.Life = {BackendServerId(record.Key), entry.Machine.empty() ? 1 : born};
   entry.Service = "render";
   entry.Rack = RackId("r1");
   entry.Capacity = {128000, 512000, 8};
-  entry.Draining = record.Value == "draining";
+  entry.Draining = state == "draining";
   return entry;
 }
 
@@ -339,6 +345,26 @@
   BOOST_TEST(Fleet.started() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(old_entry_of_a_machine_does_not_displace_its_new_life) {
+  Store.put(Servers, {"i-1", std::nullopt});
+  Store.put(Servers, {"i-3", "ready 1 m-1"});
+  runFor(Millis(60));
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-3").Running.size() == 1U);
+  // The machine starts again under another id; the old entry is read once
+  // more before it lapses.
+  Store.put(Servers, {"i-2", "ready 5 m-1"});
+  runFor(Millis(100));
+  BOOST_REQUIRE(Fleet.at("i-2").Running.size() == 1U);
+  Store.put(Servers, {"i-3", "ready 1 m-1"});
+  runFor(Millis(100));
+  Store.put(Servers, {"i-2", "ready 5 m-1"});
+  runFor(Millis(100));
+  BOOST_TEST(Fleet.at("i-2").Running.size() == 1U);
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(draining_server_gets_no_new_work) {
   Store.put(Servers, {"i-1", "draining"});
   runFor(Millis(80));
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -97,6 +97,8 @@
   Links.clear();
   Listed.clear();
   Vanished.clear();
+  LatestLives.clear();
+  OverLives.clear();
   // Callbacks of the appender and the links may be on the stack.
   StepSoon = Loop.at(monoNow(), [this] { step(); });
   if (Appender) {
@@ -154,6 +156,7 @@
   if (!record.Value) {
     if (Listed.contains(id))
       Vanished.try_emplace(id, monoNow());
+    Planner->setListed(id, false);
     return;
   }
   auto read = ReadEntry(record);
@@ -163,7 +166,10 @@
         std::get<Findings>(read).text());
     return;
   }
+  if (isOver(*entry))
+    return;
   Vanished.erase(id);
+  Planner->setListed(id, true);
   const auto known = Listed.find(id);
   if (known != Listed.end() && known->second == *entry)
     return;
@@ -171,14 +177,6 @@
       known->second.Draining != entry->Draining)
     Log("servers", "entry", "server={} born={} draining={} leaves_in_ms={}",
         id.str(), entry->Life.BornMs, entry->Draining, entry->DrainRemainingMs);
-  // A machine carries one life at a time.
-  if (known == Listed.end() && !entry->Machine.empty()) {
-    for (const auto &[other, it] : Listed)
-      if (it.Machine == entry->Machine && other != id) {
-        dropServer(ServerLife(it.Life), "its machine carries another server");
-        break;
-      }
-  }
   if (known != Listed.end() && known->second.Life != entry->Life)
     dropServer(ServerLife(known->second.Life), "it started again");
   Listed[id] = *entry;
@@ -186,6 +184,27 @@
     addLink(*entry);
 }
 
+bool PodController::isOver(const ServerEntry &entry) {
+  if (OverLives.contains(entry.Life))
+    return true;
+  if (entry.Machine.empty())
+    return false;
+  // A machine carries one life at a time: the one that began last.
+  const auto [it, added] = LatestLives.try_emplace(entry.Machine, entry.Life);
+  const ServerLife latest = it->second;
+  if (added || latest == entry.Life)
+    return false;
+  if (entry.Life.BornMs < latest.BornMs) {
+    Log("servers", "entry_of_a_past_life", "server={} born={} latest={}",
+        entry.Life.Id.str(), entry.Life.BornMs, latest.Id.str());
+    OverLives.insert(entry.Life);
+    return true;
+  }
+  it->second = entry.Life;
+  dropServer(latest, "its machine carries another server");
+  return false;
+}
+
 void PodController::addLink(const ServerEntry &entry) {
   const MonoTime now = monoNow();
   Planner->putServer(entry, now);
@@ -220,6 +239,7 @@
 }
 
 void PodController::dropServer(const ServerLife &life, const char *reason) {
+  OverLives.insert(life);
   Log("servers", "gone", "server={} born={} why=\"{}\"", life.Id.str(),
       life.BornMs, reason);
   const auto link = Links.find(life);
@@ -255,6 +275,9 @@
   }
   for (const ServerLife &it : gone)
     dropServer(it, "its entry vanished");
+  // It may come back under the same life, if it only was out of reach.
+  for (const ServerLife &it : gone)
+    OverLives.erase(it);
 }
 
 MonoTime PodController::inheritedLeasesEndBy() const {
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -125,6 +125,7 @@
   // Backend servers.
   void putServer(const ServerEntry &entry, MonoTime now);
   void setReachable(const BackendServerId &id, bool reachable);
+  void setListed(const BackendServerId &id, bool listed);
   /// Everything that ran on this life is gone; its runs may start elsewhere.
   void serverGone(const ServerLife &life, MonoTime now);
   /// Everything that ran on this life has lost its lease; it may come back.
--- a/packages/workload/include/citrongap/workload/server_table.h
+++ b/packages/workload/include/citrongap/workload/server_table.h
@@ -40,6 +40,8 @@
   /// After a refused start.
   MonoTime NoStartsBefore;
   bool Reachable = true;
+  /// Its entry is in the platform's list.
+  bool Listed = true;
   /// While draining: it stays at least until then.
   MonoTime LeavesAt;
 };
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -48,6 +48,11 @@
     slot->Reachable = reachable;
 }
 
+void PodPlanner::setListed(const BackendServerId &id, bool listed) {
+  if (ServerSlot *slot = Servers.find(id))
+    slot->Listed = listed;
+}
+
 void PodPlanner::leasesLapsed(const ServerLife &life, MonoTime now) {
   const std::set<TaskName> tasks = Placed[life];
   for (const TaskName &it : tasks) {
@@ -215,8 +220,8 @@
         work.Record.Occurrences[it.Occurrence].Steps[it.Step];
     const bool gang = work.Spec.Steps[it.Step].Gang;
     out.push_back({it, record.Run, life, work.Spec.Payload,
-                   gang ? step.Tasks.front().Checkpoint : record.Checkpoint,
-                   0, Millis(0), true});
+                   gang ? step.Tasks.front().Checkpoint : record.Checkpoint, 0,
+                   Millis(0), true});
   }
   return out;
 }
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -147,7 +147,8 @@
 std::vector<PackingServer> PodPlanner::packingView(MonoTime now) const {
   std::vector<PackingServer> view;
   for (const auto &[id, slot] : Servers.all()) {
-    if (!slot.Reachable || slot.Entry.Draining || now < slot.NoStartsBefore)
+    if (!slot.Reachable || !slot.Listed || slot.Entry.Draining ||
+        now < slot.NoStartsBefore)
       continue;
     PackingServer it;
     it.Id = id;
@@ -251,9 +252,9 @@
       Health.probeStarted(slot.Entry.Life.Id);
     const TaskName name{unit.Work, unit.Occurrence, unit.Step, index};
     Placed[task.Server].insert(name);
-    round.Starts.push_back(
-        {name, run, task.Server, work.Spec.Payload, checkpoint, unit.Rank,
-         now - task.WaitingSince, near});
+    round.Starts.push_back({name, run, task.Server, work.Spec.Payload,
+                            checkpoint, unit.Rank, now - task.WaitingSince,
+                            near});
   }
   if (work.Record.Phase == WorkPhase::Queued)
     work.Record.Phase = WorkPhase::Running;
