--- /dev/null
+++ b/packages/workload/src/planner_load_test.cpp
@@ -0,0 +1,179 @@
+// The planner under the loads that it was changed for, in virtual time: bursts
+// of urgent gangs on a room that is full of other work (Lahore's dusk rush, the
+// guild's deadline). Compared with the former rules: no servers kept free, room
+// made after 0.4 s whatever it costs.
+#include "planner_fixture.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace citrongap;
+
+namespace {
+
+constexpr int ServerCount = 24;
+constexpr Millis Tick{50};
+constexpr Millis StopTime{900};
+/// The platform's bound on reclaiming a guarantee.
+constexpr Millis ReclaimBound{3400};
+constexpr double CoresPerGpu = 8;
+
+struct LoadResult {
+  Millis LongestUrgentWait{0};
+  double UrgentInTime = 0;
+  double CoreSecondsLost = 0;
+  std::size_t Completed = 0;
+};
+
+/// Runs end after their work, or 0.9 s after a stop.
+class Simulation : public PlannerFixture {
+public:
+  explicit Simulation(const PlannerTerms &terms) {
+    Planner = PodPlanner(terms);
+    addServers(ServerCount);
+    Planner.setGuarantees({{ClientAccountId("quetta"), 8 * ServerCount}});
+  }
+
+  void add(const WorkSpec &spec, Millis work) {
+    Work[spec.Id] = work;
+    Submitted[spec.Id] = Now;
+    submit(spec);
+  }
+
+  void run(Millis span) {
+    for (const MonoTime end = Now + span; Now < end;
+         Now += Tick, WallMs += Tick.count()) {
+      finishDue();
+      for (const auto &[task, run] : Runs)
+        Planner.progressed(task, run.Order.Run, run.Order.Server, percent(run),
+                           Now);
+      const PlannedRound round = plan();
+      for (const StartOrder &it : round.Starts)
+        begin(it);
+      for (const StopOrder &it : round.Stops)
+        if (const auto run = Runs.find(it.Task); run != Runs.end())
+          stop(run->second);
+    }
+  }
+
+  LoadResult Result;
+  std::size_t Urgent = 0;
+
+private:
+  struct Run {
+    StartOrder Order;
+    MonoTime Began;
+    MonoTime Ends;
+    bool Stopped = false;
+  };
+
+  int percent(const Run &run) const {
+    return static_cast<int>(100 * (Now - run.Began) /
+                            Work.at(run.Order.Task.Work));
+  }
+
+  void begin(const StartOrder &order) {
+    Runs[order.Task] = {order, Now, Now + Work.at(order.Task.Work), false};
+    Planner.started(order.Task, order.Run, order.Server, Now);
+    const WorkSpec &spec = Planner.find(order.Task.Work)->Spec;
+    if (spec.Priority > 0 || order.Task.Index > 0)
+      return;
+    const Millis wait = Now - Submitted.at(order.Task.Work);
+    Result.LongestUrgentWait = std::max(Result.LongestUrgentWait, wait);
+    ++Urgent;
+    // In time: half its length again, less the time to hand it in.
+    if (wait <= Work.at(order.Task.Work) / 2)
+      Result.UrgentInTime += 1;
+  }
+
+  void stop(Run &run) {
+    run.Stopped = true;
+    run.Ends = Now + StopTime;
+  }
+
+  void finishDue() {
+    std::vector<Run> due;
+    for (const auto &[task, run] : Runs)
+      if (run.Ends <= Now)
+        due.push_back(run);
+    for (const Run &it : due) {
+      Runs.erase(it.Order.Task);
+      if (it.Stopped)
+        Result.CoreSecondsLost += lost(it);
+      else
+        ++Result.Completed;
+      end(it.Order, it.Stopped ? RunEnding::Stopped : RunEnding::Done);
+    }
+  }
+
+  double lost(const Run &run) const {
+    const PlannedWork *work = Planner.find(run.Order.Task.Work);
+    const Resources &it = work->Spec.Steps[0].Needs;
+    return (static_cast<double>(it.CpuMillis) / 1000 +
+            CoresPerGpu * static_cast<double>(it.GpuCount)) *
+           static_cast<double>((Now - run.Began).count()) / 1000;
+  }
+
+  std::map<TaskName, Run> Runs;
+  std::map<WorkId, Millis> Work;
+  std::map<WorkId, MonoTime> Submitted;
+};
+
+PlannerTerms formerTerms() {
+  PlannerTerms terms;
+  terms.PreemptAfter = Millis(400);
+  terms.UrgentPreemptAfter = Millis(400);
+  terms.CheapWaste = 0;
+  terms.UrgentReserveShare = 0;
+  return terms;
+}
+
+/// Other work about as much as the room takes, and a burst of urgent gangs of
+/// three whole servers.
+LoadResult duskRush(const PlannerTerms &terms) {
+  Simulation room(terms);
+  for (int second = 0; second < 40; ++second) {
+    const std::string tag = std::to_string(second);
+    WorkSpec batch = Simulation::job("batch-" + tag, 8, 1, false, 2);
+    batch.Steps[0].EstimateMs = 7600;
+    room.add(batch, Millis(7600));
+    if (second % 3 != 1) {
+      WorkSpec gang = Simulation::job("gang-" + tag, 2, 8, true, 1);
+      gang.Steps[0].EstimateMs = 11000;
+      room.add(gang, Millis(11000));
+    }
+    if (second % 3 == 0 || (second > 12 && second < 20)) {
+      WorkSpec urgent = Simulation::job("urgent-" + tag, 3, 8, true, 0);
+      urgent.Steps[0].EstimateMs = 2500;
+      room.add(urgent, Millis(2500));
+    }
+    room.run(Seconds(1));
+  }
+  room.run(Seconds(60));
+  room.Result.UrgentInTime /= static_cast<double>(room.Urgent);
+  return room.Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(dusk_rush_urgent_gangs_begin_within_the_reclaim_bound) {
+  const LoadResult now = duskRush(PlannerTerms{});
+  BOOST_TEST(now.LongestUrgentWait.count() <= ReclaimBound.count());
+}
+
+BOOST_AUTO_TEST_CASE(dusk_rush_throws_away_less_work_than_the_former_rules) {
+  const LoadResult now = duskRush(PlannerTerms{});
+  const LoadResult former = duskRush(formerTerms());
+  BOOST_TEST_MESSAGE("lost core-seconds "
+                     << now.CoreSecondsLost << " of " << former.CoreSecondsLost
+                     << ", urgent in time " << now.UrgentInTime << " of "
+                     << former.UrgentInTime);
+  BOOST_TEST(now.CoreSecondsLost < former.CoreSecondsLost);
+}
+
+BOOST_AUTO_TEST_CASE(dusk_rush_everything_is_done_in_the_end) {
+  const LoadResult now = duskRush(PlannerTerms{});
+  // 40 batches of 8 tasks, 27 gangs, 19 urgent gangs; each gang at least once.
+  BOOST_TEST(now.Completed >= 40U * 8U + 27U + 19U);
+}
