--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -58,6 +58,8 @@
   bool ready() const;
   /// Hands the pod over and becomes not ready; open requests go on.
   void drain();
+  /// Answers what is still open, as the process is about to end.
+  void giveUpAll() { Front.giveUpAll(); }
   std::size_t openRequests() const { return Front.open(); }
   std::size_t maxBodyBytes() const;
   /// Counters and histograms as text.
--- a/packages/control/include/citrongap/control/request_front.h
+++ b/packages/control/include/citrongap/control/request_front.h
@@ -95,6 +95,9 @@
   const SiteConfiguration *configuration() const {
     return Configuration ? &*Configuration : nullptr;
   }
+  /// Answers every request that waits for the store: "not run" where that is
+  /// certain, else "unknown".
+  void giveUpAll();
   /// Requests that wait for the store.
   std::size_t open() const { return Pending.size(); }
   /// The store was reached of late.
@@ -121,6 +124,7 @@
   CallerAnswer noJob() const;
   void store(std::vector<KeyedRecord> records, MonoTime deadline,
              const Reply &reply, std::function<CallerAnswer()> onStored);
+  void giveUp(std::uint64_t id, const char *reason);
   void finish(std::uint64_t id, const CallerAnswer &answer);
   bool fresh(const TopicTail &tail, Millis within) const;
 
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr std::size_t WorkIdDigits = 16;
-/// Outages of the store last some seconds, and callers return a few times only;
-/// half of this would use up their tries before it is back.
-constexpr Millis StoreRetry{2000};
+/// Callers have about 3 s for all their tries; the least that the header can
+/// say lets them find the store, or another entry VM, soonest.
+constexpr Millis StoreRetry{1000};
 
 bool isWorkId(const std::string &text) {
   return text.size() == WorkIdDigits &&
@@ -214,17 +214,25 @@
   waiting.Ticket = Appender.lastTicket();
   // A caller that waits shorter than the margin still gets most of its time.
   const MonoTime now = monoNow();
-  const MonoTime giveUp =
+  const MonoTime giveUpAt =
       std::max(deadline - Terms.AnswerMargin, now + (deadline - now) * 3 / 4);
-  waiting.GiveUp = Loop.at(giveUp, [this, id] {
-    const auto it = Pending.find(id);
-    if (it == Pending.end())
-      return;
-    if (Appender.withdraw(it->second.Ticket))
-      finish(id, AnswerNotRun{"the store did not take it in time", StoreRetry});
-    else
-      finish(id, AnswerUnknown{"the store has not answered yet"});
-  });
+  waiting.GiveUp =
+      Loop.at(giveUpAt, [this, id] { giveUp(id, "the store is silent"); });
+}
+
+void RequestFront::giveUp(std::uint64_t id, const char *reason) {
+  const auto it = Pending.find(id);
+  if (it == Pending.end())
+    return;
+  if (Appender.withdraw(it->second.Ticket))
+    finish(id, AnswerNotRun{reason, StoreRetry});
+  else
+    finish(id, AnswerUnknown{reason});
+}
+
+void RequestFront::giveUpAll() {
+  while (!Pending.empty())
+    giveUp(Pending.begin()->first, "this entry VM is stopping");
 }
 
 void RequestFront::finish(std::uint64_t id, const CallerAnswer &answer) {
--- a/packages/net/include/citrongap/net/http_server.h
+++ b/packages/net/include/citrongap/net/http_server.h
@@ -25,10 +25,11 @@
 };
 
 /// Answers one request, once; later calls do nothing. Copies share the request.
-/// A request that is never answered gets 500 when the last copy goes.
+/// A request that is never answered gets 500 when the last copy goes. After the
+/// server is gone, nothing is sent.
 class HttpResponder {
 public:
-  explicit HttpResponder(evhttp_request *request);
+  HttpResponder(evhttp_request *request, std::weak_ptr<int> server);
   void send(const HttpResponse &response) const;
   bool sent() const;
   /// Has the connection closed after the answer.
@@ -65,6 +66,8 @@
   /// The bound sockets, as libevent's handles.
   std::set<void *> Sockets;
   std::set<evhttp_connection *> Open;
+  /// Responders may outlive the server, whose end frees their requests.
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
 };
 
 } // namespace citrongap
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -11,10 +11,11 @@
 
 struct HttpResponder::State {
   evhttp_request *Request = nullptr;
+  std::weak_ptr<int> Server;
 
   void send(const HttpResponse &response) {
     evhttp_request *request = std::exchange(Request, nullptr);
-    if (!request)
+    if (!request || Server.expired())
       return;
     evbuffer *body = evbuffer_new();
     evbuffer_add(body, response.Body.data(), response.Body.size());
@@ -38,9 +39,10 @@
   return {};
 }
 
-HttpResponder::HttpResponder(evhttp_request *request)
+HttpResponder::HttpResponder(evhttp_request *request, std::weak_ptr<int> server)
     : Shared(std::make_shared<State>()) {
   Shared->Request = request;
+  Shared->Server = std::move(server);
 }
 
 void HttpResponder::send(const HttpResponse &response) const {
@@ -48,7 +50,7 @@
 }
 
 void HttpResponder::closeAfter() const {
-  if (Shared->Request)
+  if (Shared->Request && !Shared->Server.expired())
     evhttp_add_header(evhttp_request_get_output_headers(Shared->Request),
                       "Connection", "close");
 }
@@ -118,6 +120,7 @@
 }
 
 HttpServer::~HttpServer() {
+  Alive.reset();
   for (auto *it : Open)
     evhttp_connection_set_closecb(it, nullptr, nullptr);
   evhttp_free(Http);
@@ -140,7 +143,7 @@
   auto *connection = evhttp_request_get_connection(request);
   if (Open.insert(connection).second)
     evhttp_connection_set_closecb(connection, onClosed, this);
-  const HttpResponder responder(request);
+  const HttpResponder responder(request, Alive);
   if (Open.size() > Limits.MaxConnections) {
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
                       "close");
--- a/packages/net/src/http_test.cpp
+++ b/packages/net/src/http_test.cpp
@@ -66,6 +66,27 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(responder_that_outlives_its_server_sends_nothing) {
+  EventLoop loop;
+  std::optional<HttpResponder> kept;
+  HttpClient client(loop, testing::loopbackIp());
+  {
+    HttpServer server(loop, {},
+                      [&](const HttpRequest &, const HttpResponder &to) {
+                        kept = to;
+                        loop.stop();
+                      });
+    BOOST_REQUIRE(server.listen(Server));
+    HttpRequest request;
+    request.Target = "/";
+    client.call(Server, request, monoNow() + Seconds(2), [](auto) {});
+    loop.runUntil(monoNow() + Seconds(3));
+    BOOST_REQUIRE(kept);
+  }
+  kept->send({200, "late"});
+  kept.reset();
+}
+
 BOOST_AUTO_TEST_CASE(refused_connection_means_that_nothing_was_sent) {
   EventLoop loop;
   HttpClient client(loop, testing::loopbackIp());
