Submissions behind an unanswered append are refused at once, as not run

Cause: in the first 0.7 s of an outage requests queued behind the append in flight and were held until their deadline, though they had not been sent. The test failed first.

--- a/packages/control/include/citrongap/control/request_front.h
+++ b/packages/control/include/citrongap/control/request_front.h
@@ -98,6 +98,9 @@
   /// Answers every request that waits for the store: "not run" where that is
   /// certain, else "unknown".
   void giveUpAll();
+  /// Refuses requests whose records wait behind one that has no answer: they
+  /// have not been sent, and callers are better off elsewhere.
+  void refuseUnsent();
   /// Requests that wait for the store.
   std::size_t open() const { return Pending.size(); }
   /// The store was reached of late.
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -57,6 +57,7 @@
   Election.OnChange = [this](bool holds) { onOwnership(holds); };
   FrontAppender.OnRetry = [this](const std::string &why) {
     Log("store", "append_retry", "why=\"{}\"", why);
+    Front.refuseUnsent();
   };
   watch(JobsTail, "jobs");
   watch(ConfigurationTail, "configuration");
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -227,6 +227,27 @@
     BOOST_TEST(Fleet.started() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(submission_behind_an_unanswered_one_is_refused_at_once) {
+  Vms.at("vm-2")->View.Faults.Silent = true;
+  std::string second = "none";
+  CallerRequest request;
+  request.Verb = CallerVerb::Submit;
+  request.Host = "host";
+  request.ApiKey = Key;
+  request.Deadline = monoNow() + Seconds(2);
+  request.Path = "/q/00000000000000aa";
+  Vms.at("vm-2")->Node.handle(request, [](const CallerAnswer &) {});
+  request.Path = "/q/00000000000000bb";
+  Vms.at("vm-2")->Node.handle(
+      request, [&](const CallerAnswer &it) { second = describe(it); });
+  runFor(Millis(100));
+  BOOST_TEST(second == "not_run");
+  Vms.at("vm-2")->View.Faults.Silent = false;
+  runFor(Millis(200));
+  BOOST_TEST(call("vm-1", CallerVerb::Query, WorkId("00000000000000bb")) ==
+             "no_job");
+}
+
 BOOST_AUTO_TEST_CASE(cancelled_job_stops_and_says_so_everywhere) {
   BOOST_TEST(submit("vm-1") == "accepted");
   runFor(Millis(60));
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -235,6 +235,15 @@
     giveUp(Pending.begin()->first, "this entry VM is stopping");
 }
 
+void RequestFront::refuseUnsent() {
+  std::vector<std::uint64_t> unsent;
+  for (const auto &[id, waiting] : Pending)
+    if (Appender.withdraw(waiting.Ticket))
+      unsent.push_back(id);
+  for (const std::uint64_t it : unsent)
+    finish(it, AnswerNotRun{"the store is out of reach", StoreRetry});
+}
+
 void RequestFront::finish(std::uint64_t id, const CallerAnswer &answer) {
   const auto it = Pending.find(id);
   if (it == Pending.end())
