--- a/packages/control/include/citrongap/control/request_front.h
+++ b/packages/control/include/citrongap/control/request_front.h
@@ -73,8 +73,6 @@
   Millis ConfigurationUsable{6000};
   /// Before the caller's deadline, so that the answer still arrives.
   Millis AnswerMargin{250};
-  /// Waiting jobs of an account in one queue, at the most.
-  std::size_t MaxWaitingPerAccount = 2000;
 };
 
 /// Reads the body of a submission.
@@ -116,8 +114,8 @@
   void submit(const CallerRequest &request, const QueueRules &queue,
               const ClientAccountId &account, const WorkId &id,
               const Reply &reply);
-  void query(const QueueRules &queue, const ClientAccountId &account,
-             const WorkId &id, const Reply &reply);
+  void query(const ClientAccountId &account, const WorkId &id,
+             const Reply &reply);
   void cancel(const CallerRequest &request, const ClientAccountId &account,
               const WorkId &id, const Reply &reply);
   /// The job, if it is known and the account may see it.
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -36,6 +36,14 @@
   double ClockSlack = 1.03;
   /// Added to a lapse, for delays on the way.
   Millis LapseMargin{300};
+
+  /// When the longest lease that was asked for at `sentAt` has surely lapsed.
+  MonoTime lapseOf(MonoTime sentAt) const {
+    return sentAt +
+           Millis(static_cast<std::int64_t>(
+               static_cast<double>(MaxLease.count()) * ClockSlack)) +
+           LapseMargin + AnswerWithin;
+  }
 };
 
 class ServerLink {
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -107,7 +107,7 @@
     submit(request, *queue, account, id, logged);
     break;
   case CallerVerb::Query:
-    query(*queue, account, id, logged);
+    query(account, id, logged);
     break;
   case CallerVerb::Cancel:
     cancel(request, account, id, logged);
@@ -161,8 +161,8 @@
   return AnswerNotRun{"jobs are not known to the end", StoreRetry};
 }
 
-void RequestFront::query(const QueueRules &, const ClientAccountId &account,
-                         const WorkId &id, const Reply &reply) {
+void RequestFront::query(const ClientAccountId &account, const WorkId &id,
+                         const Reply &reply) {
   const BoardEntry *entry = visible(id, account);
   if (!entry)
     reply(noJob());
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -18,12 +18,7 @@
   // late; it is left to lapse.
   if (Failures == 0 && !Deliveries.empty()) {
     request.LeaseUntil = leaseUntil();
-    LeaseEndsBy = std::max(LeaseEndsBy,
-                           now +
-                               Millis(static_cast<std::int64_t>(
-                                   static_cast<double>(Terms.MaxLease.count()) *
-                                   Terms.ClockSlack)) +
-                               Terms.LapseMargin + Terms.AnswerWithin);
+    LeaseEndsBy = std::max(LeaseEndsBy, Terms.lapseOf(now));
   }
   if (Failures == 0 && Synchronized && !Deliveries.empty())
     request.Wait = Terms.PollWait;
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -170,7 +170,6 @@
   std::set<WorkId> takeChanged();
   const PlannedWork *find(const WorkId &id) const;
   const ServerTable &servers() const { return Servers; }
-  std::size_t waitingWork(const QueueId &queue) const;
   /// Drops jobs that ended and have no run left; gives their ids.
   std::vector<WorkId> dropEnded();
 
@@ -192,7 +191,8 @@
   void checkDone(const WorkId &id, PlannedWork &work, std::int64_t wallMs);
   void stopGang(const TaskName &member, const char *reason);
 
-  // One round, in pod_planner_round.cpp.
+  // One round: pod_planner_round.cpp, and pod_planner_room.cpp for what is
+  // stopped or kept free.
   void addDueOccurrences(PlannedWork &work, std::int64_t wallMs, MonoTime now);
   std::vector<Unit> collectWaiting(MonoTime now, std::int64_t wallMs);
   void collectStep(const WorkId &id, PlannedWork &work, std::uint32_t k,
--- /dev/null
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -0,0 +1,180 @@
+// Room: what is stopped or kept free for urgent work, and runs that are moved
+// because they stall or their server leaves.
+#include "pod_planner_unit.h"
+
+#include <algorithm>
+#include <map>
+
+namespace citrongap {
+
+namespace {
+
+/// Core-seconds that one accelerator-second counts as; from the price list.
+constexpr double CoresPerGpu = 8;
+/// Stopping a task that checkpoints loses at most about a second of work.
+constexpr double CheckpointLossSeconds = 1;
+/// A stop takes up to this long, and the work that goes on is lost as well.
+constexpr double StopSeconds = 0.9;
+
+double secondsBetween(MonoTime from, MonoTime to) {
+  return static_cast<double>((to - from).count()) / 1000;
+}
+
+double coresOf(const Resources &it) {
+  return static_cast<double>(it.CpuMillis) / 1000 +
+         CoresPerGpu * static_cast<double>(it.GpuCount);
+}
+
+} // namespace
+
+std::vector<PodPlanner::Victims>
+PodPlanner::victimsBelow(std::uint32_t rank,
+                         const std::vector<PackingServer> &view,
+                         MonoTime now) const {
+  std::map<BackendServerId, std::size_t> indexOf;
+  for (std::size_t at = 0; at < view.size(); ++at)
+    indexOf[view[at].Id] = at;
+  std::map<TaskName, Victims> groups;
+  for (const auto &[life, tasks] : Placed)
+    for (const TaskName &name : tasks) {
+      const PlannedWork &work = Works.at(name.Work);
+      const TaskRecord &task = *taskOf(name);
+      const auto server = indexOf.find(life.Id);
+      if (task.StopWanted || rankOf(work) <= std::max(rank, UrgentRank - 1) ||
+          (rank == UrgentRank && rankOf(work) == UrgentRank) ||
+          server == indexOf.end())
+        continue;
+      const StepSpec &spec = work.Spec.Steps[name.Step];
+      TaskName key = name;
+      if (spec.Gang)
+        key.Index = 0;
+      double seconds = secondsBetween(task.PlacedAt, now);
+      if (spec.Checkpoints)
+        seconds = std::min(seconds, CheckpointLossSeconds);
+      Victims &group = groups[key];
+      group.Any = name;
+      group.Group.Parts.push_back({server->second, spec.taken()});
+      group.Group.Waste += (seconds + StopSeconds) * coresOf(spec.Needs);
+    }
+  std::vector<Victims> out;
+  out.reserve(groups.size());
+  for (auto &[key, it] : groups)
+    out.push_back(std::move(it));
+  return out;
+}
+
+double PodPlanner::ownWork(const Unit &unit) const {
+  const StepSpec &spec = Works.at(unit.Work).Spec.Steps[unit.Step];
+  return static_cast<double>(unit.Indices.size()) * coresOf(spec.Needs) *
+         static_cast<double>(spec.EstimateMs) / 1000;
+}
+
+bool PodPlanner::preempt(const Unit &unit, std::vector<PackingServer> &view,
+                         MonoTime now) {
+  // What is being stopped already counts as free for the highest ranks.
+  std::vector<PackingServer> later = view;
+  for (PackingServer &it : later)
+    it.Free += Servers.find(it.Id)->Stopping;
+  const PackingRequest near = requestOf(unit, true);
+  if (const auto found = packTasks(later, near)) {
+    takeRoom(view, *found, near.Each);
+    return true;
+  }
+  const std::vector<Victims> victims = victimsBelow(unit.Rank, later, now);
+  std::vector<VictimGroup> groups;
+  groups.reserve(victims.size());
+  for (const Victims &it : victims)
+    groups.push_back(it.Group);
+  const Millis patience = unit.Rank == GuaranteedRank
+                              ? Terms.PreemptAfter
+                              : Terms.UrgentPreemptAfter;
+  const bool patient = now - unit.WaitingSince < patience;
+  auto room = makeRoom(later, groups, near);
+  if (!room && !patient)
+    room = makeRoom(later, groups, requestOf(unit, false));
+  if (!room || (patient && room->Waste > Terms.CheapWaste * ownWork(unit)))
+    return false;
+  for (const std::size_t it : room->Victims) {
+    const TaskName &name = victims[it].Any;
+    if (specOf(name).Gang)
+      stopGang(name, "room for urgent work");
+    else
+      wantStop(name, stepOf(name).Tasks[name.Index], "room for urgent work");
+  }
+  takeRoom(view, room->Servers, near.Each);
+  return true;
+}
+
+void PodPlanner::reserveForUrgent(std::vector<PackingServer> &view) const {
+  // Whole servers, in the racks with the most of them, so that gangs fit.
+  std::map<RackId, std::int64_t> wholeInRack;
+  for (const PackingServer &it : view)
+    if (it.Free == it.Capacity)
+      ++wholeInRack[it.Rack];
+  std::vector<PackingServer *> whole;
+  for (PackingServer &it : view)
+    if (it.Free == it.Capacity)
+      whole.push_back(&it);
+  std::stable_sort(whole.begin(), whole.end(),
+                   [&](const PackingServer *lhs, const PackingServer *rhs) {
+                     return std::tuple(-wholeInRack[lhs->Rack], lhs->Rack) <
+                            std::tuple(-wholeInRack[rhs->Rack], rhs->Rack);
+                   });
+  const auto count = static_cast<std::size_t>(static_cast<double>(view.size()) *
+                                              Terms.UrgentReserveShare);
+  for (std::size_t n = 0; n < std::min(count, whole.size()); ++n)
+    whole[n]->Reserved = true;
+}
+
+void PodPlanner::watchRuns(MonoTime now) {
+  std::vector<TaskName> stalled;
+  for (const auto &[life, tasks] : Placed)
+    for (const TaskName &name : tasks) {
+      const TaskRecord &task = *taskOf(name);
+      const StepSpec &spec = specOf(name);
+      if (task.StopWanted)
+        continue;
+      const bool unconfirmedGang =
+          spec.Gang && !task.Confirmed &&
+          now - task.PlacedAt > Terms.GangConfirmWithin;
+      const Millis onePercent(spec.EstimateMs * 3 / 100);
+      const bool stalls =
+          task.Confirmed && task.Percent < 100 &&
+          now - task.ProgressAt > std::max(Terms.StalledAfter, onePercent);
+      if (unconfirmedGang || stalls)
+        stalled.push_back(name);
+    }
+  for (const TaskName &it : stalled) {
+    TaskRecord &task = stepOf(it).Tasks[it.Index];
+    if (task.Confirmed)
+      Health.failed(task.Server.Id, now);
+    if (specOf(it).Gang)
+      stopGang(it, "a member makes no progress");
+    else
+      wantStop(it, task, "it makes no progress");
+  }
+}
+
+void PodPlanner::moveOffDraining(MonoTime now) {
+  for (const auto &[life, tasks] : Placed) {
+    const ServerSlot *slot = Servers.find(life.Id);
+    if (!slot || !slot->Entry.Draining)
+      continue;
+    for (const TaskName &name : tasks) {
+      TaskRecord &task = stepOf(name).Tasks[name.Index];
+      const StepSpec &spec = specOf(name);
+      const auto ran = now - task.PlacedAt;
+      if (task.StopWanted || task.Percent <= 0 || !spec.Checkpoints)
+        continue;
+      const auto left = ran * (100 - task.Percent) / task.Percent;
+      if (now + left < slot->LeavesAt)
+        continue;
+      if (spec.Gang)
+        stopGang(name, "a member's server is leaving");
+      else
+        wantStop(name, task, "the server is leaving");
+    }
+  }
+}
+
+} // namespace citrongap
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -1,62 +1,12 @@
 // One round: waiting steps in order of rank, each placed where it fits best;
 // room is made for guaranteed work and kept free for large gangs.
-#include "citrongap/workload/pod_planner.h"
+#include "pod_planner_unit.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace citrongap {
 
-/// The waiting tasks of one step: a whole gang, or tasks that start alone.
-struct PodPlanner::Unit {
-  WorkId Work;
-  std::uint32_t Occurrence = 0;
-  std::uint32_t Step = 0;
-  std::vector<std::uint32_t> Indices;
-  bool Gang = false;
-  std::uint32_t Rank = 0;
-  std::int64_t AcceptedAtMs = 0;
-  MonoTime WaitingSince;
-  /// It has waited so long that it may use servers kept for urgent work.
-  bool MayUseReserved = false;
-
-  auto order() const {
-    return std::tuple(Rank, AcceptedAtMs, Work, Occurrence, Step);
-  }
-};
-
-/// Placed work that may be stopped for a unit of higher rank.
-struct PodPlanner::Victims {
-  VictimGroup Group;
-  /// One of its tasks.
-  TaskName Any;
-};
-
-namespace {
-
-/// Core-seconds that one accelerator-second counts as; from the price list.
-constexpr double CoresPerGpu = 8;
-/// Ranks: priority 0 within the guarantee, priority 0 beyond it, then the
-/// other priorities.
-constexpr std::uint32_t GuaranteedRank = 0;
-constexpr std::uint32_t UrgentRank = 1;
-/// Stopping a task that checkpoints loses at most about a second of work.
-constexpr double CheckpointLossSeconds = 1;
-/// A stop takes up to this long, and the work that goes on is lost as well.
-constexpr double StopSeconds = 0.9;
-
-double secondsBetween(MonoTime from, MonoTime to) {
-  return static_cast<double>((to - from).count()) / 1000;
-}
-
-double coresOf(const Resources &it) {
-  return static_cast<double>(it.CpuMillis) / 1000 +
-         CoresPerGpu * static_cast<double>(it.GpuCount);
-}
-
-} // namespace
-
 std::uint32_t PodPlanner::rankOf(const PlannedWork &work) const {
   if (work.Spec.Priority > 0)
     return UrgentRank + work.Spec.Priority;
@@ -261,154 +211,6 @@
   Changed.insert(unit.Work);
 }
 
-std::vector<PodPlanner::Victims>
-PodPlanner::victimsBelow(std::uint32_t rank,
-                         const std::vector<PackingServer> &view,
-                         MonoTime now) const {
-  std::map<BackendServerId, std::size_t> indexOf;
-  for (std::size_t at = 0; at < view.size(); ++at)
-    indexOf[view[at].Id] = at;
-  std::map<TaskName, Victims> groups;
-  for (const auto &[life, tasks] : Placed)
-    for (const TaskName &name : tasks) {
-      const PlannedWork &work = Works.at(name.Work);
-      const TaskRecord &task = *taskOf(name);
-      const auto server = indexOf.find(life.Id);
-      if (task.StopWanted || rankOf(work) <= std::max(rank, UrgentRank - 1) ||
-          (rank == UrgentRank && rankOf(work) == UrgentRank) ||
-          server == indexOf.end())
-        continue;
-      const StepSpec &spec = work.Spec.Steps[name.Step];
-      TaskName key = name;
-      if (spec.Gang)
-        key.Index = 0;
-      double seconds = secondsBetween(task.PlacedAt, now);
-      if (spec.Checkpoints)
-        seconds = std::min(seconds, CheckpointLossSeconds);
-      Victims &group = groups[key];
-      group.Any = name;
-      group.Group.Parts.push_back({server->second, spec.taken()});
-      group.Group.Waste += (seconds + StopSeconds) * coresOf(spec.Needs);
-    }
-  std::vector<Victims> out;
-  for (auto &[key, it] : groups)
-    out.push_back(std::move(it));
-  return out;
-}
-
-double PodPlanner::ownWork(const Unit &unit) const {
-  const StepSpec &spec = Works.at(unit.Work).Spec.Steps[unit.Step];
-  return static_cast<double>(unit.Indices.size()) * coresOf(spec.Needs) *
-         static_cast<double>(spec.EstimateMs) / 1000;
-}
-
-bool PodPlanner::preempt(const Unit &unit, std::vector<PackingServer> &view,
-                         MonoTime now) {
-  // What is being stopped already counts as free for the highest ranks.
-  std::vector<PackingServer> later = view;
-  for (PackingServer &it : later)
-    it.Free += Servers.find(it.Id)->Stopping;
-  const PackingRequest near = requestOf(unit, true);
-  if (const auto found = packTasks(later, near)) {
-    takeRoom(view, *found, near.Each);
-    return true;
-  }
-  const std::vector<Victims> victims = victimsBelow(unit.Rank, later, now);
-  std::vector<VictimGroup> groups;
-  for (const Victims &it : victims)
-    groups.push_back(it.Group);
-  const Millis patience = unit.Rank == GuaranteedRank
-                              ? Terms.PreemptAfter
-                              : Terms.UrgentPreemptAfter;
-  const bool patient = now - unit.WaitingSince < patience;
-  auto room = makeRoom(later, groups, near);
-  if (!room && !patient)
-    room = makeRoom(later, groups, requestOf(unit, false));
-  if (!room || (patient && room->Waste > Terms.CheapWaste * ownWork(unit)))
-    return false;
-  for (const std::size_t it : room->Victims) {
-    const TaskName &name = victims[it].Any;
-    if (specOf(name).Gang)
-      stopGang(name, "room for urgent work");
-    else
-      wantStop(name, stepOf(name).Tasks[name.Index], "room for urgent work");
-  }
-  takeRoom(view, room->Servers, near.Each);
-  return true;
-}
-
-void PodPlanner::reserveForUrgent(std::vector<PackingServer> &view) const {
-  // Whole servers, in the racks with the most of them, so that gangs fit.
-  std::map<RackId, std::int64_t> wholeInRack;
-  for (const PackingServer &it : view)
-    if (it.Free == it.Capacity)
-      ++wholeInRack[it.Rack];
-  std::vector<PackingServer *> whole;
-  for (PackingServer &it : view)
-    if (it.Free == it.Capacity)
-      whole.push_back(&it);
-  std::stable_sort(whole.begin(), whole.end(),
-                   [&](const PackingServer *lhs, const PackingServer *rhs) {
-                     return std::tuple(-wholeInRack[lhs->Rack], lhs->Rack) <
-                            std::tuple(-wholeInRack[rhs->Rack], rhs->Rack);
-                   });
-  const auto count = static_cast<std::size_t>(static_cast<double>(view.size()) *
-                                              Terms.UrgentReserveShare);
-  for (std::size_t n = 0; n < std::min(count, whole.size()); ++n)
-    whole[n]->Reserved = true;
-}
-
-void PodPlanner::watchRuns(MonoTime now) {
-  std::vector<TaskName> stalled;
-  for (const auto &[life, tasks] : Placed)
-    for (const TaskName &name : tasks) {
-      const TaskRecord &task = *taskOf(name);
-      const StepSpec &spec = specOf(name);
-      if (task.StopWanted)
-        continue;
-      const bool unconfirmedGang =
-          spec.Gang && !task.Confirmed &&
-          now - task.PlacedAt > Terms.GangConfirmWithin;
-      const Millis onePercent(spec.EstimateMs * 3 / 100);
-      const bool stalls =
-          task.Confirmed && task.Percent < 100 &&
-          now - task.ProgressAt > std::max(Terms.StalledAfter, onePercent);
-      if (unconfirmedGang || stalls)
-        stalled.push_back(name);
-    }
-  for (const TaskName &it : stalled) {
-    TaskRecord &task = stepOf(it).Tasks[it.Index];
-    if (task.Confirmed)
-      Health.failed(task.Server.Id, now);
-    if (specOf(it).Gang)
-      stopGang(it, "a member makes no progress");
-    else
-      wantStop(it, task, "it makes no progress");
-  }
-}
-
-void PodPlanner::moveOffDraining(MonoTime now) {
-  for (const auto &[life, tasks] : Placed) {
-    const ServerSlot *slot = Servers.find(life.Id);
-    if (!slot || !slot->Entry.Draining)
-      continue;
-    for (const TaskName &name : tasks) {
-      TaskRecord &task = stepOf(name).Tasks[name.Index];
-      const StepSpec &spec = specOf(name);
-      const auto ran = now - task.PlacedAt;
-      if (task.StopWanted || task.Percent <= 0 || !spec.Checkpoints)
-        continue;
-      const auto left = ran * (100 - task.Percent) / task.Percent;
-      if (now + left < slot->LeavesAt)
-        continue;
-      if (spec.Gang)
-        stopGang(name, "a member's server is leaving");
-      else
-        wantStop(name, task, "the server is leaving");
-    }
-  }
-}
-
 PlannedRound PodPlanner::plan(MonoTime now, std::int64_t wallMs) {
   PlannedRound round;
   watchRuns(now);
@@ -456,12 +258,4 @@
   return round;
 }
 
-std::size_t PodPlanner::waitingWork(const QueueId &queue) const {
-  return static_cast<std::size_t>(
-      std::count_if(Works.begin(), Works.end(), [&](const auto &it) {
-        return it.second.Spec.Queue == queue &&
-               it.second.Record.Phase == WorkPhase::Queued;
-      }));
-}
-
 } // namespace citrongap
