--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -95,12 +95,7 @@
     return;
   it.InFlight = true;
   const MonoTime now = monoNow();
-  LeaseEndsBy = std::max(
-      LeaseEndsBy,
-      now +
-          Millis(static_cast<std::int64_t>(
-              static_cast<double>(Terms.MaxLease.count()) * Terms.ClockSlack)) +
-          Terms.LapseMargin + Terms.AnswerWithin);
+  LeaseEndsBy = std::max(LeaseEndsBy, Terms.lapseOf(now));
   Fleet.start(At, it.Order, leaseUntil(), Token, now + Terms.AnswerWithin,
               [this, task, run = it.Order.Run, now,
                alive = std::weak_ptr<int>(Alive)](auto result) {
