An owner that stepped down by itself takes over again while the group gives it the pod

Cause (found reading the diff): a refused record or a server that had seen a newer token made the owner step down; the group still listed it, so nobody owned the pod until the next change of members.

--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -76,6 +76,7 @@
   EventLoop &Loop;
   EventLog &Log;
   Timer AnnounceAgain;
+  Timer TakeOverAgain;
   EntryNodeSettings Settings;
   SiteReaders Readers;
   WorkBoard Board;
--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -61,7 +61,8 @@
   void onNews(const WorkId &id);
   /// Records up to `next` of the jobs topic were applied to the board.
   void onTailAt(LogOffset next);
-  /// A newer epoch has written.
+  /// It stepped down by itself: a newer epoch has written or given orders, or a
+  /// record was refused.
   std::function<void()> OnFenced;
 
 private:
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -10,8 +10,11 @@
 
 /// All entry VMs of the site are members of one group.
 constexpr const char *OwnersGroup = "owners";
-/// After a store said that a newer owner exists, joins settle who it is.
+/// Of a producer that no other life uses: its name has this life's id.
 constexpr Epoch FirstEpoch{1};
+/// An owner that was fenced or could not record takes over again after this, if
+/// the group still gives it the pod; a rightful successor is known by then.
+constexpr Millis TakeOverAgainAfter{400};
 
 } // namespace
 
@@ -59,6 +62,10 @@
     Log("store", "append_retry", "why=\"{}\"", why);
     Front.refuseUnsent();
   };
+  Controller.OnFenced = [this] {
+    TakeOverAgain = Loop.at(monoNow() + TakeOverAgainAfter,
+                            [this] { onOwnership(Election.holds()); });
+  };
   watch(JobsTail, "jobs");
   watch(ConfigurationTail, "configuration");
 }
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -386,6 +386,15 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(owner_that_stepped_down_but_still_holds_takes_over_again) {
+  // One order under the next epoch reached the server, as after a lapse.
+  Fleet.at("i-1").Token = Fleet.at("i-1").Token.next();
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(900));
+  BOOST_TEST(Fleet.running() == 1U);
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(draining_server_gets_no_new_work) {
   Store.put(Servers, {"i-1", "draining"});
   runFor(Millis(80));
