A reader that is stopped and started again does not read twice

Cause (found reading the diff): the read that was out when an owner stepped down went on beside the new one after its next election, so the list of servers was read twice for good. Constants say where their figures come from.

--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -9,9 +9,11 @@
 
 /// All owners write under one producer, so that a newer epoch fences the rest.
 constexpr const char *OwnerProducer = "owner";
-/// Events of one moment are planned for together.
+/// Events of one moment are planned for together; a third of an append's time.
 constexpr Millis GatherFor{2};
+/// Ended jobs are kept 30 s longer than is asked, so this need not be exact.
 constexpr Millis SweepEvery{10000};
+/// Keys dropped in one append: 1,500 short records, far below a call's limit.
 constexpr std::size_t MaxForgottenAtOnce = 500;
 
 } // namespace
--- a/packages/store/include/citrongap/store/batch_appender.h
+++ b/packages/store/include/citrongap/store/batch_appender.h
@@ -17,6 +17,7 @@
 struct AppenderTerms {
   /// One try; a slow store answers after 0.4 s, a silent one never.
   Millis AnswerWithin{700};
+  /// A refused or unanswered try; ten a second are 2% of the store's writes.
   Millis RetryAfter{100};
   /// A batch that was refused for so long, and certainly not appended, fails;
   /// zero for never.
--- a/packages/store/include/citrongap/store/topic_tail.h
+++ b/packages/store/include/citrongap/store/topic_tail.h
@@ -17,7 +17,8 @@
   Millis Wait{10000};
   /// Between the end of one read and the next; batches records.
   Millis Spacing{0};
-  /// After a refused or unanswered read.
+  /// After a refused or unanswered read; a return of the store is seen within
+  /// this.
   Millis RetryAfter{150};
   /// A read with `Wait` gets so much longer to be answered; a store that takes
   /// 100 times its usual 4 ms still answers in time.
@@ -72,7 +73,7 @@
   bool Reading = false;
   std::optional<MonoTime> FreshAt;
   Timer Again;
-  /// Guards callbacks of calls that outlive this object.
+  /// Guards callbacks of calls that outlive this object or a stop.
   std::shared_ptr<int> Alive = std::make_shared<int>(0);
 };
 
--- a/packages/store/src/topic_tail.cpp
+++ b/packages/store/src/topic_tail.cpp
@@ -21,6 +21,9 @@
 void TopicTail::stop() {
   Running = false;
   Again.cancel();
+  // Answers of calls that are out are not for the next start.
+  Alive = std::make_shared<int>(0);
+  Reading = false;
 }
 
 void TopicTail::poke() {
--- a/packages/store/src/topic_tail_test.cpp
+++ b/packages/store/src/topic_tail_test.cpp
@@ -79,4 +79,20 @@
   BOOST_TEST((*Tail.freshAt() > stale));
 }
 
+BOOST_AUTO_TEST_CASE(restart_while_a_read_is_out_reads_each_record_once) {
+  int seen = 0;
+  TopicTail tail(
+      Loop, View, Topic, TailTerms{.Wait = Millis(40), .RetryAfter = Millis(5)},
+      [&](const KeyedRecord &) { ++seen; }, [] {});
+  tail.start();
+  runFor(Millis(20));
+  tail.stop();
+  tail.start();
+  runFor(Millis(10));
+  Store.put(Topic, {"a", "1"});
+  Store.put(Topic, {"b", "1"});
+  runFor(Millis(60));
+  BOOST_TEST(seen == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
