Servers that fail all they start get one probe and no last attempts; questions bring reads forward

Ruled out: jobs at fault (most of their tasks failed once only, on those servers).

A quarantined server takes one task when a probe is due; several failures of one job there count once; what failed last is used last; a last attempt waits for a server on which other work gets on. A run that a server lists twice without progress starts elsewhere; each such stop doubles the patience.

--- a/packages/control/include/citrongap/control/request_front.h
+++ b/packages/control/include/citrongap/control/request_front.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace citrongap {
 
@@ -73,6 +74,11 @@
   Millis ConfigurationUsable{6000};
   /// Before the caller's deadline, so that the answer still arrives.
   Millis AnswerMargin{250};
+  /// A question about a job is answered from a board that is so old.
+  Millis BoardUsable{20};
+  /// Or waits so long for a read that brings it up to date; five times what a
+  /// read usually takes.
+  Millis RefreshWithin{40};
 };
 
 /// Reads the body of a submission.
@@ -103,6 +109,8 @@
   std::size_t open() const { return Pending.size(); }
   /// The store was reached of late.
   bool connected() const;
+  /// The jobs were read up to a time after the last call.
+  void onJobsRead();
 
 private:
   struct Waiting {
@@ -114,6 +122,9 @@
   void submit(const CallerRequest &request, const QueueRules &queue,
               const ClientAccountId &account, const WorkId &id,
               const Reply &reply);
+  /// Goes on once the board is up to date, or the time for that is over; at
+  /// once when a job has ended or the store is out of reach.
+  void whenFresh(const WorkId &id, std::function<void()> then);
   void query(const ClientAccountId &account, const WorkId &id,
              const Reply &reply);
   void cancel(const CallerRequest &request, const ClientAccountId &account,
@@ -140,6 +151,9 @@
   std::optional<SiteConfiguration> Configuration;
   /// Requests whose records are on their way to the store.
   std::map<std::uint64_t, Waiting> Pending;
+  /// Questions that wait for a read of the jobs, oldest first.
+  std::vector<std::function<void()>> Refreshing;
+  Timer RefreshUntil;
   std::uint64_t NextPending = 1;
 };
 
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -38,6 +38,7 @@
             if (JobsTail.freshAt())
               Election.start();
             Controller.onTailAt(JobsTail.next());
+            Front.onJobsRead();
           }),
       ConfigurationTail(
           loop, store, Settings.Configuration, followTerms(),
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -107,10 +107,12 @@
     submit(request, *queue, account, id, logged);
     break;
   case CallerVerb::Query:
-    query(account, id, logged);
+    whenFresh(id, [this, account, id, logged] { query(account, id, logged); });
     break;
   case CallerVerb::Cancel:
-    cancel(request, account, id, logged);
+    whenFresh(id, [this, request, account, id, logged] {
+      cancel(request, account, id, logged);
+    });
     break;
   }
 }
@@ -161,6 +163,27 @@
   return AnswerNotRun{"jobs are not known to the end", StoreRetry};
 }
 
+void RequestFront::whenFresh(const WorkId &id, std::function<void()> then) {
+  const BoardEntry *entry = Board.find(id);
+  const bool stale = !Refreshing.empty() ||
+                     (JobsTail.pausing() && !fresh(JobsTail, Terms.BoardUsable));
+  if (!stale || (entry && ended(entry->Phase))) {
+    then();
+    return;
+  }
+  if (Refreshing.empty())
+    RefreshUntil =
+        Loop.at(monoNow() + Terms.RefreshWithin, [this] { onJobsRead(); });
+  Refreshing.push_back(std::move(then));
+  JobsTail.poke();
+}
+
+void RequestFront::onJobsRead() {
+  RefreshUntil.cancel();
+  for (const auto &it : std::exchange(Refreshing, {}))
+    it();
+}
+
 void RequestFront::query(const ClientAccountId &account, const WorkId &id,
                          const Reply &reply) {
   const BoardEntry *entry = visible(id, account);
@@ -231,6 +254,7 @@
 }
 
 void RequestFront::giveUpAll() {
+  onJobsRead();
   while (!Pending.empty())
     giveUp(Pending.begin()->first, "this entry VM is stopping");
 }
--- a/packages/policy/src/server_health.cpp
+++ b/packages/policy/src/server_health.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-constexpr double HalfLifeMs = 10.0 * 60 * 1000;
-constexpr double MinFailures = 2.5;
-constexpr double MinRate = 0.5;
-constexpr double MinTimesOthers = 2;
-constexpr Millis FirstQuarantine{30 * 1000};
 constexpr std::uint32_t MaxDoublings = 6;
 
 } // namespace
@@ -22,11 +17,12 @@
   return runs > 0 ? Failures / runs : 0;
 }
 
-void ServerHealth::Record::decay(MonoTime now) {
+void ServerHealth::Record::decay(MonoTime now, Millis halfLife) {
   if (now <= DecayedAt)
     return;
   const auto passed = static_cast<double>((now - DecayedAt).count());
-  const double factor = std::exp2(-passed / HalfLifeMs);
+  const double factor = 
+      std::exp2(-passed / static_cast<double>(halfLife.count()));
   Failures *= factor;
   Successes *= factor;
   DecayedAt = now;
@@ -67,7 +63,7 @@
   record.Quarantined = true;
   record.Probing = false;
   record.ProbeAt =
-      now + FirstQuarantine * (1U << std::min(record.Strikes, MaxDoublings));
+      now + Terms.FirstQuarantine * (1U << std::min(record.Strikes, MaxDoublings));
   ++record.Strikes;
 }
 
@@ -90,25 +86,40 @@
     return;
   }
   exclude(record);
-  record.decay(now);
+  record.decay(now, Terms.HalfLife);
   record.Successes += 1;
+  record.FailedLast = false;
+  record.WorkedAt = now;
   include(record);
 }
 
-bool ServerHealth::failed(const BackendServerId &server, MonoTime now) {
+void ServerHealth::progressed(const BackendServerId &server, MonoTime now) {
+  recordOf(server, now).WorkedAt = now;
+}
+
+bool ServerHealth::failed(const BackendServerId &server, MonoTime now,
+                          const std::string &cause) {
   Record &record = recordOf(server, now);
+  const bool again = record.FailedLast && !cause.empty() &&
+                     record.LastCause == cause &&
+                     now < record.FailedAt + Terms.HalfLife;
+  record.FailedLast = true;
+  record.FailedAt = now;
+  record.LastCause = cause;
   if (record.Quarantined) {
     if (record.Probing)
       quarantine(record, now);
     return false;
   }
+  if (again)
+    return false;
   exclude(record);
-  record.decay(now);
+  record.decay(now, Terms.HalfLife);
   record.Failures += 1;
   include(record);
-  const bool guilty = record.Failures >= MinFailures &&
-                      record.rate() >= MinRate &&
-                      record.rate() >= MinTimesOthers * rateOfOthers(record);
+  const bool guilty =
+      record.Failures >= Terms.MinFailures && record.rate() >= Terms.MinRate &&
+      record.rate() >= Terms.MinTimesOthers * rateOfOthers(record);
   if (guilty)
     quarantine(record, now);
   return guilty;
@@ -121,11 +132,12 @@
   Record &record = it->second;
   if (!record.Quarantined)
     exclude(record);
-  record.decay(now);
+  record.decay(now, Terms.HalfLife);
   record.Failures = std::max(0.0, record.Failures - 1);
+  record.FailedLast = false;
   if (!record.Quarantined)
     include(record);
-  else if (record.Failures < MinFailures)
+  else if (record.Failures < Terms.MinFailures)
     release(record, now);
 }
 
@@ -134,6 +146,19 @@
   return it != Records.end() && it->second.Quarantined;
 }
 
+bool ServerHealth::suspect(const BackendServerId &server, MonoTime now) const {
+  const auto it = Records.find(server);
+  return it != Records.end() && it->second.FailedLast &&
+         now < it->second.FailedAt + Terms.HalfLife;
+}
+
+bool ServerHealth::proven(const BackendServerId &server, MonoTime now) const {
+  const auto it = Records.find(server);
+  return it != Records.end() && it->second.WorkedAt &&
+         !it->second.FailedLast && !it->second.Quarantined &&
+         now < *it->second.WorkedAt + Terms.HalfLife;
+}
+
 bool ServerHealth::probeDue(const BackendServerId &server, MonoTime now) const {
   const auto it = Records.find(server);
   return it != Records.end() && it->second.Quarantined && !it->second.Probing &&
--- a/packages/store/include/citrongap/store/topic_tail.h
+++ b/packages/store/include/citrongap/store/topic_tail.h
@@ -43,6 +43,8 @@
   bool loaded() const { return Loaded; }
   /// Takes effect with the next read.
   void setSpacing(Millis spacing) { Terms.Spacing = spacing; }
+  /// It works, and waits for the next read: what came since is not known.
+  bool pausing() const { return Working && Loaded && Again.pending(); }
   /// Reads at once instead of after the spacing.
   void poke();
   /// Called when the records of the newest are about to be read again.
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -97,6 +97,18 @@
   /// Without progress for so long, a run is restarted elsewhere; two reports
   /// of a server lie within 2 s each.
   Millis StalledAfter{5000};
+  /// The same where the server has told in between that there was none; just
+  /// below the 2 s of a long poll. Both double with each such stop of a task.
+  Millis ListedStalledAfter{1900};
+  /// A task's last attempt waits so long for a server on which other work gets
+  /// on; then for one on which nothing failed, if any could hold it when empty.
+  /// A failed job earns nothing, a late one some.
+  Millis LastAttemptWait{6000};
+  /// Jobs last seconds here: two of them that fail on one server within 10 s
+  /// tell more of it than of them, and a probe costs one of their attempts.
+  HealthTerms Health{.HalfLife = Millis(10000),
+                     .MinFailures = 1.5,
+                     .FirstQuarantine = Millis(5000)};
   /// A server that refused a start gets none for so long; its lists then tell
   /// what takes the room.
   Millis RefusedPause{400};
@@ -115,7 +127,8 @@
 
 class PodPlanner {
 public:
-  explicit PodPlanner(PlannerTerms terms) : Terms(terms) {}
+  explicit PodPlanner(PlannerTerms terms)
+      : Terms(terms), Health(terms.Health) {}
 
   /// Accelerators that each account holds for jobs of priority 0.
   void setGuarantees(std::map<ClientAccountId, std::int64_t> gpus) {
@@ -199,7 +212,15 @@
                    std::uint32_t step, MonoTime now, std::vector<Unit> &out);
   std::vector<PackingServer> packingView(MonoTime now) const;
   void countSameStep(const Unit &unit, std::vector<PackingServer> &view) const;
-  PackingRequest requestOf(const Unit &unit, bool nearOnly) const;
+  /// `view` tells whether sound servers could hold the unit at all.
+  PackingRequest requestOf(const Unit &unit,
+                           const std::vector<PackingServer> &view,
+                           bool nearOnly) const;
+  /// Attempts of the unit that have failed; of tasks, the most of any.
+  std::uint32_t failuresOf(const Unit &unit) const;
+  /// Places the tasks of a step one by one; true when all were.
+  bool placeEach(const Unit &unit, std::vector<PackingServer> &view,
+                 MonoTime now, PlannedRound &round);
   bool place(const Unit &unit, std::vector<PackingServer> &view, MonoTime now,
              PlannedRound &round);
   void start(const Unit &unit, const std::vector<PackingServer> &view,
@@ -216,6 +237,7 @@
   /// Marks servers that wait for urgent work.
   void reserveForUrgent(std::vector<PackingServer> &view) const;
   void watchRuns(MonoTime now);
+  bool stalls(const TaskRecord &task, const StepSpec &spec, MonoTime now) const;
   void moveOffDraining(MonoTime now);
   std::uint32_t rankOf(const PlannedWork &work) const;
   void countDemand();
--- a/packages/workload/include/citrongap/workload/vector_packing.h
+++ b/packages/workload/include/citrongap/workload/vector_packing.h
@@ -25,6 +25,10 @@
   std::uint32_t SameStep = 0;
   /// In quarantine: takes one task that is not part of a gang, as a probe.
   bool ProbeOnly = false;
+  /// What ended here last failed; used last.
+  bool Suspect = false;
+  /// Something was done or got on here of late, and nothing failed since.
+  bool Proven = false;
   /// Kept free for urgent work.
   bool Reserved = false;
 };
@@ -43,6 +47,10 @@
   bool OneRack = false;
   /// May use reserved servers.
   bool UseReserved = true;
+  /// Only servers on which nothing failed of late.
+  bool OnlySound = false;
+  /// Only proven servers.
+  bool OnlyProven = false;
   /// Servers on which the task failed before; used last.
   std::set<BackendServerId> Avoid;
 };
--- a/packages/workload/include/citrongap/workload/work_state.h
+++ b/packages/workload/include/citrongap/workload/work_state.h
@@ -56,9 +56,13 @@
   bool StopWanted = false;
   MonoTime PlacedAt;
   MonoTime WaitingSince;
-  /// Last progress listed by the server, and when it last rose.
+  /// Last progress listed by the server, when it last rose, and when it was
+  /// last listed.
   int Percent = 0;
   MonoTime ProgressAt;
+  MonoTime ListedAt;
+  /// Runs that were stopped because they made no progress.
+  std::uint32_t Stalls = 0;
 };
 
 struct StepRecord {
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -86,6 +86,9 @@
         task.WaitingSince = now;
         task.PlacedAt = now;
         task.ProgressAt = now;
+        // What an earlier owner learnt of servers is in the records alone.
+        if (task.Failures > 0 && task.Stage == TaskStage::Waiting)
+          Health.failed(task.Server.Id, now, spec.Id.str());
         if (task.Stage != TaskStage::Placed)
           continue;
         Placed[task.Server].insert({spec.Id, k, s, n});
@@ -120,6 +123,8 @@
     return;
   if (why == StartRefusal::Unhealthy)
     Health.failed(on.Id, now);
+  else
+    Health.probeAbandoned(on.Id);
   if (ServerSlot *slot = Servers.find(on))
     slot->NoStartsBefore = now + Terms.RefusedPause;
   release(task, *record, now);
@@ -144,10 +149,15 @@
   if (!record)
     return;
   started(task, run, on, now);
+  record->ListedAt = now;
   if (percent == record->Percent)
     return;
   record->Percent = percent;
   record->ProgressAt = now;
+  // A server that fails all it starts does so sooner.
+  constexpr Millis WorksAfter{1000};
+  if (now - record->PlacedAt >= WorksAfter)
+    Health.progressed(on.Id, now);
 }
 
 void PodPlanner::runEnded(const TaskName &task, std::uint32_t run,
@@ -184,8 +194,10 @@
     return;
   }
   if (how == RunEnding::Failed) {
-    Health.failed(on.Id, now);
+    Health.failed(on.Id, now, task.Work.str());
     countFailure(task, run, wallMs);
+  } else {
+    Health.probeAbandoned(on.Id);
   }
   if (gang)
     stopGang(task, "another member ended");
@@ -197,6 +209,7 @@
   if (!record)
     return;
   release(task, *record, now);
+  Health.probeAbandoned(on.Id);
   if (specOf(task).Gang)
     stopGang(task, "a member is missing");
 }
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -75,7 +75,7 @@
   std::vector<PackingServer> later = view;
   for (PackingServer &it : later)
     it.Free += Servers.find(it.Id)->Stopping;
-  const PackingRequest near = requestOf(unit, true);
+  const PackingRequest near = requestOf(unit, view, true);
   if (const auto found = packTasks(later, near)) {
     takeRoom(view, *found, near.Each);
     return true;
@@ -91,7 +91,7 @@
   const bool patient = now - unit.WaitingSince < patience;
   auto room = makeRoom(later, groups, near);
   if (!room && !patient)
-    room = makeRoom(later, groups, requestOf(unit, false));
+    room = makeRoom(later, groups, requestOf(unit, view, false));
   if (!room || (patient && room->Waste > Terms.CheapWaste * ownWork(unit)))
     return false;
   for (const std::size_t it : room->Victims) {
@@ -126,6 +126,21 @@
     whole[n]->Reserved = true;
 }
 
+bool PodPlanner::stalls(const TaskRecord &task, const StepSpec &spec,
+                        MonoTime now) const {
+  if (!task.Confirmed || task.Percent >= 100)
+    return false;
+  // Estimates are off by several times; a task that was stopped for it before
+  // may only be longer than its estimate says.
+  constexpr std::uint32_t MaxDoublings = 8;
+  const std::uint32_t times = 1U << std::min(task.Stalls, MaxDoublings);
+  const Millis onePercent(spec.EstimateMs * 3 / 100);
+  return now - task.ProgressAt >
+             std::max(Terms.StalledAfter, onePercent) * times ||
+         task.ListedAt - task.ProgressAt >
+             std::max(Terms.ListedStalledAfter, onePercent) * times;
+}
+
 void PodPlanner::watchRuns(MonoTime now) {
   std::vector<TaskName> stalled;
   for (const auto &[life, tasks] : Placed)
@@ -137,17 +152,15 @@
       const bool unconfirmedGang =
           spec.Gang && !task.Confirmed &&
           now - task.PlacedAt > Terms.GangConfirmWithin;
-      const Millis onePercent(spec.EstimateMs * 3 / 100);
-      const bool stalls =
-          task.Confirmed && task.Percent < 100 &&
-          now - task.ProgressAt > std::max(Terms.StalledAfter, onePercent);
-      if (unconfirmedGang || stalls)
+      if (unconfirmedGang || stalls(task, spec, now))
         stalled.push_back(name);
     }
   for (const TaskName &it : stalled) {
     TaskRecord &task = stepOf(it).Tasks[it.Index];
-    if (task.Confirmed)
-      Health.failed(task.Server.Id, now);
+    if (task.Confirmed) {
+      Health.failed(task.Server.Id, now, it.Work.str());
+      ++task.Stalls;
+    }
     if (specOf(it).Gang)
       stopGang(it, "a member makes no progress");
     else
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -74,7 +74,7 @@
   const StepSpec &spec = work.Spec.Steps[step];
   Occurrence &occurrence = work.Record.Occurrences[k];
   const auto &tasks = occurrence.Steps[step].Tasks;
-  Unit unit{id, k, step, {}, spec.Gang, 0, 0, now, false};
+  Unit unit{id, k, step, {}, spec.Gang, 0, 0, now, now, false};
   for (std::uint32_t n = 0; n < tasks.size(); ++n) {
     if (tasks[n].Stage != TaskStage::Waiting)
       continue;
@@ -100,6 +100,9 @@
     if (!slot.Reachable || !slot.Listed || slot.Entry.Draining ||
         now < slot.NoStartsBefore)
       continue;
+    const bool quarantined = Health.quarantined(id);
+    if (quarantined && !Health.probeDue(id, now))
+      continue;
     PackingServer it;
     it.Id = id;
     it.Rack = slot.Entry.Rack;
@@ -107,7 +110,9 @@
     it.Service = &slot.Entry.Service;
     it.Capacity = slot.Entry.Capacity;
     it.Free = slot.Free;
-    it.ProbeOnly = Health.quarantined(id);
+    it.ProbeOnly = quarantined;
+    it.Suspect = Health.suspect(id, now);
+    it.Proven = Health.proven(id, now);
     view.push_back(std::move(it));
   }
   return view;
@@ -129,7 +134,20 @@
   }
 }
 
-PackingRequest PodPlanner::requestOf(const Unit &unit, bool nearOnly) const {
+std::uint32_t PodPlanner::failuresOf(const Unit &unit) const {
+  const StepRecord &step =
+      Works.at(unit.Work).Record.Occurrences[unit.Occurrence].Steps[unit.Step];
+  if (unit.Gang)
+    return step.GangFailures;
+  std::uint32_t failures = 0;
+  for (const std::uint32_t it : unit.Indices)
+    failures = std::max(failures, step.Tasks[it].Failures);
+  return failures;
+}
+
+PackingRequest
+PodPlanner::requestOf(const Unit &unit, const std::vector<PackingServer> &view,
+                      bool nearOnly) const {
   const PlannedWork &work = Works.at(unit.Work);
   const StepSpec &spec = work.Spec.Steps[unit.Step];
   PackingRequest request;
@@ -145,16 +163,27 @@
   request.UseReserved = unit.Rank <= UrgentRank || unit.MayUseReserved;
   const auto &tasks =
       work.Record.Occurrences[unit.Occurrence].Steps[unit.Step].Tasks;
-  for (const std::uint32_t it : unit.Indices)
+  MonoTime since = unit.CollectedAt;
+  for (const std::uint32_t it : unit.Indices) {
+    since = std::min(since, tasks[it].WaitingSince);
     if (tasks[it].Failures > 0 || tasks[it].Run > 0)
       request.Avoid.insert(tasks[it].Server.Id);
+  }
+  const std::uint32_t failures = failuresOf(unit);
+  const bool last =
+      !work.Spec.LongRunning && failures + 1 >= work.Spec.MaxAttempts;
+  const bool patient = unit.CollectedAt - since < Terms.LastAttemptWait;
+  request.OnlySound = last;
+  request.OnlyProven = last && failures > 0 && patient;
+  if (last && !patient)
+    request.OnlySound = fitsWhenEmpty(view, request);
   return request;
 }
 
 bool PodPlanner::place(const Unit &unit, std::vector<PackingServer> &view,
                        MonoTime now, PlannedRound &round) {
   const StepSpec &spec = Works.at(unit.Work).Spec.Steps[unit.Step];
-  const PackingRequest near = requestOf(unit, true);
+  const PackingRequest near = requestOf(unit, view, true);
   const bool picky = near.OneRack || !near.Rack.empty();
   auto found = packTasks(view, near);
   const bool isNear = found.has_value();
@@ -164,15 +193,34 @@
     const Millis patience =
         std::clamp(breakEven, Terms.MinNearWait, Terms.MaxNearWait);
     if (now - unit.WaitingSince >= patience || !fitsWhenEmpty(view, near))
-      found = packTasks(view, requestOf(unit, false));
+      found = packTasks(view, requestOf(unit, view, false));
   }
   if (!found)
     return false;
   takeRoom(view, *found, near.Each);
   start(unit, view, *found, isNear, now, round);
+  for (const std::size_t at : *found)
+    if (view[at].ProbeOnly)
+      view[at].Free = {};
   return true;
 }
 
+bool PodPlanner::placeEach(const Unit &unit, std::vector<PackingServer> &view,
+                           MonoTime now, PlannedRound &round) {
+  Unit one = unit;
+  bool all = true;
+  for (const std::uint32_t it : unit.Indices) {
+    one.Indices = {it};
+    const bool placed = place(one, view, now, round);
+    all = all && placed;
+    // Tasks that have not failed ask for the same; the next would not fit.
+    if (!placed && failuresOf(one) == 0)
+      break;
+    countSameStep(unit, view);
+  }
+  return all;
+}
+
 void PodPlanner::start(const Unit &unit, const std::vector<PackingServer> &view,
                        const std::vector<std::size_t> &at, bool near,
                        MonoTime now, PlannedRound &round) {
@@ -223,22 +271,8 @@
     if (unit.Rank > UrgentRank && !std::exchange(reserved, true))
       reserveForUrgent(view);
     countSameStep(unit, view);
-    bool placed = false;
-    if (unit.Gang) {
-      placed = place(unit, view, now, round);
-    } else {
-      Unit one = unit;
-      placed = true;
-      for (const std::uint32_t it : unit.Indices) {
-        one.Indices = {it};
-        if (!place(one, view, now, round)) {
-          placed = false;
-          break;
-        }
-        countSameStep(unit, view);
-      }
-    }
-    if (placed)
+    if (unit.Gang ? place(unit, view, now, round)
+                  : placeEach(unit, view, now, round))
       continue;
     if (unit.Rank <= UrgentRank) {
       preempt(unit, view, now);
@@ -247,7 +281,7 @@
       std::vector<PackingServer> later = view;
       for (PackingServer &it : later)
         it.Free = it.Capacity;
-      const PackingRequest near = requestOf(unit, true);
+      const PackingRequest near = requestOf(unit, view, true);
       if (const auto found = packTasks(later, near)) {
         takeRoom(view, *found, near.Each);
         ++reservations;
--- a/packages/workload/src/pod_planner_unit.h
+++ b/packages/workload/src/pod_planner_unit.h
@@ -19,6 +19,7 @@
   std::uint32_t Rank = 0;
   std::int64_t AcceptedAtMs = 0;
   MonoTime WaitingSince;
+  MonoTime CollectedAt;
   /// It has waited so long that it may use servers kept for urgent work.
   bool MayUseReserved = false;
 
--- a/packages/workload/src/vector_packing.cpp
+++ b/packages/workload/src/vector_packing.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace citrongap {
 
@@ -11,9 +12,13 @@
 
 using Chosen = std::optional<std::vector<std::size_t>>;
 
+bool usedLast(const PackingServer &server, const PackingRequest &request) {
+  return server.Suspect || request.Avoid.contains(server.Id);
+}
+
 /// Lower is better: the tightest server by accelerators, then by cores.
 auto fitOf(const PackingServer &server, const PackingRequest &request) {
-  return std::tuple(request.Avoid.contains(server.Id),
+  return std::tuple(usedLast(server, request),
                     server.Free.GpuCount - request.Each.GpuCount,
                     server.Free.CpuMillis - request.Each.CpuMillis);
 }
@@ -61,21 +66,29 @@
   return racks;
 }
 
-/// The rack that fits and is left with the fewest free accelerators.
+/// The rack that fits with the fewest servers that are to be used last, then
+/// with the fewest free accelerators left.
 Chosen packInOneRack(std::vector<PackingServer> &servers,
                      const PackingRequest &request) {
   Chosen best;
-  std::int64_t bestLeft = 0;
+  std::pair<std::int64_t, std::int64_t> bestFit;
   for (const auto &[rack, among] : byRack(servers, request)) {
     std::int64_t left = 0;
     for (const std::size_t at : among)
       left += servers[at].Free.GpuCount;
-    if (left < request.Each.GpuCount * request.Count ||
-        (best && left >= bestLeft))
+    if (left < request.Each.GpuCount * request.Count)
+      continue;
+    Chosen found = packGreedily(servers, among, request);
+    if (!found)
       continue;
-    if (Chosen found = packGreedily(servers, among, request)) {
+    const auto last =
+        std::count_if(found->begin(), found->end(), [&](std::size_t at) {
+          return usedLast(servers[at], request);
+        });
+    const std::pair<std::int64_t, std::int64_t> fit(last, left);
+    if (!best || fit < bestFit) {
       best = std::move(found);
-      bestLeft = left;
+      bestFit = fit;
     }
   }
   return best;
@@ -86,6 +99,8 @@
 bool admits(const PackingServer &server, const PackingRequest &request) {
   if (*server.Service != request.Service ||
       (server.ProbeOnly && request.Count > 1) ||
+      (request.OnlySound && (server.ProbeOnly || server.Suspect)) ||
+      (request.OnlyProven && !server.Proven) ||
       (server.Reserved && !request.UseReserved))
     return false;
   if (!request.Rack.empty() && server.Rack != request.Rack)
