Fault soak of the entry VM as real processes: stand-ins of the platform's protocol, judge, seeded faults

The stand-ins (platform/standins) serve the platform's calls over MemoryStore and a pure model of backend servers with leases, fences and gangs; relays cut, delay and reset what lies between; a judge checks what callers are told and what servers do. One copy of the child process and of the relay: both move to testing/support, and the relay can cut one way, delay and reset.

--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -175,9 +175,9 @@
     return;
   }
   const MonoTime now = monoNow();
-  Questions.push_back(
-      {id, running, now + (running ? Terms.EndWithin : Terms.RefreshWithin),
-       std::move(answer)});
+  Questions.push_back({id, running,
+                       now + (running ? Terms.EndWithin : Terms.RefreshWithin),
+                       std::move(answer)});
   if (!running)
     JobsTail.poke();
   else
--- a/packages/store/include/citrongap/store/memory_store.h
+++ b/packages/store/include/citrongap/store/memory_store.h
@@ -35,8 +35,10 @@
   void put(const TopicId &topic, KeyedRecord record);
   std::size_t size(const TopicId &topic) const;
   const std::vector<KeyedRecord> &records(const TopicId &topic) const;
-  /// Removes a member whose time has lapsed.
+  /// Removes a member, as when its time has lapsed.
   void lapse(const std::string &member);
+  /// Whoever holds the topic loses it to the next member.
+  void rebalance();
   std::size_t appendCalls() const { return AppendCalls; }
 
 private:
@@ -66,13 +68,19 @@
                                  const std::vector<KeyedRecord> &records);
   TopicPage page(const TopicId &topic, LogOffset from);
   void wakeReaders(const TopicId &topic);
-  GroupStanding join(const std::string &member);
+  GroupStanding join(const std::string &member, Millis lapseAfter);
+  void lapseSilent();
   void later(std::function<void()> what);
 
   EventLoop &Loop;
   std::map<TopicId, Topic> Topics;
   std::list<Read> Readers;
-  std::vector<std::string> Members;
+  struct Member {
+    std::string Name;
+    MonoTime LapsesAt;
+  };
+  /// The first holds the topic.
+  std::vector<Member> Members;
   Epoch Generation{1};
   std::size_t AppendCalls = 0;
   std::list<Timer> Soon;
--- a/packages/store/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -89,16 +89,33 @@
   }
 }
 
-GroupStanding MemoryStore::join(const std::string &member) {
-  if (std::find(Members.begin(), Members.end(), member) == Members.end()) {
-    Members.push_back(member);
+GroupStanding MemoryStore::join(const std::string &member, Millis lapseAfter) {
+  lapseSilent();
+  auto it = std::find_if(Members.begin(), Members.end(),
+                         [&](const Member &n) { return n.Name == member; });
+  if (it == Members.end()) {
+    it = Members.insert(Members.end(), {member, {}});
     Generation = Generation.next();
   }
-  return {Generation, Members.front() == member};
+  it->LapsesAt = monoNow() + lapseAfter;
+  return {Generation, Members.front().Name == member};
+}
+
+void MemoryStore::lapseSilent() {
+  const MonoTime now = monoNow();
+  if (std::erase_if(Members,
+                    [&](const Member &it) { return it.LapsesAt <= now; }) > 0)
+    Generation = Generation.next();
 }
 
 void MemoryStore::lapse(const std::string &member) {
-  std::erase(Members, member);
+  std::erase_if(Members, [&](const Member &it) { return it.Name == member; });
+  Generation = Generation.next();
+}
+
+void MemoryStore::rebalance() {
+  if (Members.size() > 1)
+    std::rotate(Members.begin(), Members.begin() + 1, Members.end());
   Generation = Generation.next();
 }
 
@@ -180,10 +197,12 @@
 }
 
 void MemoryStoreView::join(const std::string &, const std::string &member,
-                           const TopicId &, Millis, Epoch, MonoTime deadline,
+                           const TopicId &, Millis lapseAfter, Epoch,
+                           MonoTime deadline,
                            StoreCallback<GroupStanding> done) {
   if (admit<GroupStanding>(deadline, done))
-    answer<GroupStanding>(std::move(done), Store.join(member), monoNow());
+    answer<GroupStanding>(std::move(done), Store.join(member, lapseAfter),
+                          monoNow());
 }
 
 void MemoryStoreView::holder(const std::string &, const TopicId &,
@@ -191,7 +210,9 @@
                              StoreCallback<TopicHolder> done) {
   if (!admit<TopicHolder>(deadline, done))
     return;
-  const std::string member = Store.Members.empty() ? "" : Store.Members.front();
+  Store.lapseSilent();
+  const std::string member =
+      Store.Members.empty() ? "" : Store.Members.front().Name;
   answer<TopicHolder>(std::move(done), TopicHolder{member}, monoNow());
 }
 
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -125,8 +125,9 @@
                std::tuple(taken(*rhs), -freeInRack[rhs->Rack], rhs->Rack);
       });
   const auto servers = [&](double share) {
-    return std::min(order.size(), static_cast<std::size_t>(
-                                      static_cast<double>(view.size()) * share));
+    return std::min(
+        order.size(),
+        static_cast<std::size_t>(static_cast<double>(view.size()) * share));
   };
   const std::size_t firm = servers(arrivingShare(view, now));
   const std::size_t all = std::max(firm, servers(Terms.UrgentReserveShare));
@@ -148,8 +149,7 @@
   const double next = static_cast<double>(arrived) *
                       static_cast<double>(Terms.ReserveAhead.count()) /
                       static_cast<double>(Terms.ArrivalsOver.count());
-  return std::min(next / static_cast<double>(capacity),
-                  Terms.MaxArrivingShare);
+  return std::min(next / static_cast<double>(capacity), Terms.MaxArrivingShare);
 }
 
 bool PodPlanner::stalls(const TaskRecord &task, const StepSpec &spec,
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -148,9 +148,9 @@
   return failures;
 }
 
-PackingRequest
-PodPlanner::requestOf(const Unit &unit, const std::vector<PackingServer> &view,
-                      bool nearOnly) const {
+PackingRequest PodPlanner::requestOf(const Unit &unit,
+                                     const std::vector<PackingServer> &view,
+                                     bool nearOnly) const {
   const PlannedWork &work = Works.at(unit.Work);
   const StepSpec &spec = work.Spec.Steps[unit.Step];
   PackingRequest request;
--- a/packages/workload/src/pod_planner_test.cpp
+++ b/packages/workload/src/pod_planner_test.cpp
@@ -200,7 +200,8 @@
   submit(job("a", 1, 1, false));
   end(plan().Starts.at(0), RunEnding::Failed);
   BOOST_TEST(planAfter(Millis(1500)).Starts.empty());
-  // A job of which nothing is at work must start within 3 s where there is room.
+  // A job of which nothing is at work must start within 3 s where there is
+  // room.
   BOOST_TEST(planAfter(Millis(1000)).Starts.size() == 1U);
 }
 
@@ -218,7 +219,8 @@
   BOOST_TEST((round.Starts[0].Server == life(1)));
 }
 
-BOOST_AUTO_TEST_CASE(run_that_is_listed_twice_without_progress_starts_elsewhere) {
+BOOST_AUTO_TEST_CASE(
+    run_that_is_listed_twice_without_progress_starts_elsewhere) {
   addServers(2);
   submit(job("a", 1, 8, false));
   const PlannedRound first = plan();
--- a/packages/workload/src/vector_packing.cpp
+++ b/packages/workload/src/vector_packing.cpp
@@ -100,8 +100,7 @@
   if (*server.Service != request.Service ||
       (server.ProbeOnly && request.Count > 1) ||
       (request.OnlySound && (server.ProbeOnly || server.Suspect)) ||
-      (request.OnlyProven && !server.Proven) ||
-      server.KeptFor > request.MayUse)
+      (request.OnlyProven && !server.Proven) || server.KeptFor > request.MayUse)
     return false;
   if (!request.Rack.empty() && server.Rack != request.Rack)
     return false;
--- a/testing/scenario/src/relay_main.cpp
+++ b/testing/scenario/src/relay_main.cpp
@@ -3,7 +3,7 @@
 #include "citrongap/base/log.h"
 #include "citrongap/net/http_server.h"
 #include "citrongap/standins/json_fields.h"
-#include "scenario/relay.h"
+#include "citrongap/testing/relay.h"
 
 #include <algorithm>
 #include <csignal>
@@ -14,7 +14,7 @@
 #include <nlohmann/json.hpp>
 
 using namespace citrongap;
-using namespace citrongap::scenario;
+using namespace citrongap::testing;
 using nlohmann::json;
 
 namespace {
--- a/testing/scenario/src/scenario/node_run.h
+++ b/testing/scenario/src/scenario/node_run.h
@@ -11,7 +11,7 @@
 
 struct Runner::NodeRun {
   Site::Node About;
-  std::unique_ptr<Process> Child;
+  std::unique_ptr<testing::Process> Child;
   NodeState Expected = NodeState::Live;
   /// A status call is in flight.
   bool Polling = false;
--- a/testing/scenario/src/scenario/runner.cpp
+++ b/testing/scenario/src/scenario/runner.cpp
@@ -117,19 +117,20 @@
   writeFile(path("vms.json"), Vms.dump());
   writeFile(path("servers.json"), Where.serverList().dump());
   const std::string standins = Options.Build + "/testing/standins/";
-  Platform = std::make_unique<Process>(
+  Platform = std::make_unique<testing::Process>(
       std::vector<std::string>{standins + "citrongap_platform_standin",
                                "--listen", Where.platform().str(), "--vms",
                                path("vms.json"), "--lag-ms",
                                std::to_string(ListLag.count())},
       path("platform.log"));
-  Backends = std::make_unique<Process>(
+  Backends = std::make_unique<testing::Process>(
       std::vector<std::string>{standins + "citrongap_backend_standin",
                                "--servers", path("servers.json"), "--history",
                                path("backends.jsonl")},
       path("backends.log"));
   for (const auto &it : Where.relays()) {
-    Relays.push_back(std::make_unique<Relay>(Loop, it.Listen, it.Target));
+    Relays.push_back(
+        std::make_unique<testing::Relay>(Loop, it.Listen, it.Target));
     if (!Relays.back()->ok())
       fail("can't relay on " + it.Listen.str());
   }
@@ -145,7 +146,7 @@
 bool Runner::startNode(NodeRun &node) {
   const std::string name = node.About.Id.str();
   writeFile(path(name + ".ini"), Where.settings(node.About, Story));
-  node.Child = std::make_unique<Process>(
+  node.Child = std::make_unique<testing::Process>(
       std::vector<std::string>{Options.Daemon, path(name + ".ini")},
       path(name + ".log"));
   node.Expected = NodeState::Live;
--- a/testing/scenario/src/scenario/runner.h
+++ b/testing/scenario/src/scenario/runner.h
@@ -6,8 +6,8 @@
 #include "caller.h"
 #include "citrongap/ledger/configuration_change.h"
 #include "citrongap/net/http_client.h"
-#include "process.h"
-#include "relay.h"
+#include "citrongap/testing/process.h"
+#include "citrongap/testing/relay.h"
 #include "site.h"
 
 #include <functional>
@@ -90,9 +90,9 @@
   standins::HistoryFile History;
   Configuration Lists;
   std::vector<std::unique_ptr<NodeRun>> Nodes;
-  std::unique_ptr<Process> Platform;
-  std::unique_ptr<Process> Backends;
-  std::vector<std::unique_ptr<Relay>> Relays;
+  std::unique_ptr<testing::Process> Platform;
+  std::unique_ptr<testing::Process> Backends;
+  std::vector<std::unique_ptr<testing::Relay>> Relays;
   std::unique_ptr<Caller> Callers;
   /// The true list of VMs.
   nlohmann::json Vms;
--- a/testing/scenario/src/soak_main.cpp
+++ b/testing/scenario/src/soak_main.cpp
@@ -1,7 +1,7 @@
 // citrongap_soak: one scenario under many seeds, a bounded number at a time
 // and for a bounded time.
 #include "citrongap/base/time.h"
-#include "scenario/process.h"
+#include "citrongap/testing/process.h"
 
 #include <algorithm>
 #include <chrono>
@@ -12,7 +12,7 @@
 #include <thread>
 
 using namespace citrongap;
-using namespace citrongap::scenario;
+using namespace citrongap::testing;
 
 namespace {
 
--- /dev/null
+++ b/testing/soak/src/fault_plan.cpp
@@ -0,0 +1,162 @@
+// Draws the faults of a seed and carries them out.
+#include "fault_plan.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+namespace citrongap::soak {
+
+namespace {
+
+constexpr unsigned EverywherePercent = 25;
+/// What a fault may leave behind: a take-over, leases that must lapse (6 s, 2%
+/// slow clocks), orders that arrive late.
+constexpr Millis AfterEffects{9000};
+constexpr Millis SlowStore{300};
+/// Longer than entry VMs wait for an answer to an order.
+constexpr Millis LateOrders{1500};
+
+} // namespace
+
+const char *describe(FaultKind kind) {
+  static constexpr std::array<const char *, 17> Names{
+      "vm killed",        "vm stopped",
+      "vm paused",        "store busy",
+      "store silent",     "store answers lost",
+      "store slow",       "store reset",
+      "store rebalances", "store compacted",
+      "server crashes",   "server leaves",
+      "server cut",       "server answers lost",
+      "server late",      "server reset",
+      "publish"};
+  return Names.at(static_cast<std::size_t>(kind));
+}
+
+std::vector<PlannedFault> planFaults(std::uint64_t seed, std::size_t count,
+                                     MonoTime from, MonoTime until,
+                                     const SiteShape &shape) {
+  Random numbers(seed);
+  std::vector<PlannedFault> out;
+  const auto span = static_cast<std::uint64_t>((until - from).count());
+  for (std::size_t n = 0; n < count; ++n) {
+    PlannedFault it;
+    it.At = from + Millis(static_cast<std::int64_t>(numbers.between(0, span)));
+    it.Kind = static_cast<FaultKind>(
+        numbers.between(0, static_cast<std::uint64_t>(FaultKind::Count) - 1));
+    const bool server = it.Kind >= FaultKind::ServerCrashes;
+    it.Target =
+        numbers.between(0, (server ? shape.Servers : shape.EntryVms) - 1U);
+    it.Everywhere = numbers.between(1, 100) <= EverywherePercent;
+    it.Span = Millis(static_cast<std::int64_t>(numbers.between(300, 3000)));
+    out.push_back(it);
+  }
+  return out;
+}
+
+void FaultRunner::schedule(const PlannedFault &fault) {
+  Timers.push_back(Loop.at(fault.At, [this, fault] { begin(fault); }));
+}
+
+void FaultRunner::undoLater(Millis span, std::function<void()> undo) {
+  Timers.push_back(Loop.at(monoNow() + span, std::move(undo)));
+}
+
+void FaultRunner::begin(const PlannedFault &fault) {
+  const MonoTime now = monoNow();
+  fmt::print("{} {} target {}{} for {} ms\n", toMillis(now),
+             describe(fault.Kind), fault.Target,
+             fault.Everywhere ? " (all)" : "", fault.Span.count());
+  if (fault.Kind != FaultKind::Publish)
+    Judging.disturbedUntil(now + fault.Span + AfterEffects);
+  switch (fault.Kind) {
+  case FaultKind::StoreRebalances:
+    Site.store().rebalance();
+    return;
+  case FaultKind::StoreCompacted:
+    Site.store().compact(TopicId("keyed.jobs"));
+    return;
+  case FaultKind::Publish:
+    Extra = !Extra;
+    Site.publish(Extra);
+    return;
+  default:
+    break;
+  }
+  if (fault.Kind >= FaultKind::ServerCrashes) {
+    onServer(fault, Site.servers().at(fault.Target));
+    return;
+  }
+  for (std::size_t n = 0; n < Site.vms().size(); ++n)
+    if (n == fault.Target || fault.Everywhere)
+      onVm(fault, Site.vms()[n]);
+}
+
+void FaultRunner::onVm(const PlannedFault &fault, SoakVm &vm) {
+  // Its way to the store fails, which may break what it holds open.
+  if (fault.Kind >= FaultKind::StoreBusy)
+    vm.DisturbedUntil =
+        std::max(vm.DisturbedUntil, monoNow() + fault.Span + AfterEffects);
+  switch (fault.Kind) {
+  case FaultKind::VmKilled:
+    Site.kill(vm, fault.Span);
+    break;
+  case FaultKind::VmStopped:
+    Site.stop(vm, fault.Span);
+    break;
+  case FaultKind::VmPaused:
+    Site.pause(vm, fault.Span);
+    break;
+  case FaultKind::StoreBusy:
+    vm.Store->faults().Busy = true;
+    undoLater(fault.Span, [&vm] { vm.Store->faults().Busy = false; });
+    break;
+  case FaultKind::StoreSilent:
+    vm.ToStore->setCut(true);
+    undoLater(fault.Span, [&vm] { vm.ToStore->setCut(false); });
+    break;
+  case FaultKind::StoreAnswersLost:
+    vm.ToStore->setCut(false, true);
+    undoLater(fault.Span, [&vm] { vm.ToStore->setCut(false); });
+    break;
+  case FaultKind::StoreSlow:
+    vm.ToStore->setDelay(SlowStore);
+    undoLater(fault.Span, [&vm] { vm.ToStore->setDelay(Millis(0)); });
+    break;
+  case FaultKind::StoreReset:
+    vm.ToStore->reset();
+    break;
+  default:
+    break;
+  }
+}
+
+void FaultRunner::onServer(const PlannedFault &fault, SoakServer &server) {
+  switch (fault.Kind) {
+  case FaultKind::ServerCrashes:
+    Site.crash(server, fault.Span);
+    break;
+  case FaultKind::ServerLeaves:
+    Site.drain(server);
+    break;
+  case FaultKind::ServerCut:
+    server.Relay->setCut(true);
+    undoLater(fault.Span, [&server] { server.Relay->setCut(false); });
+    break;
+  case FaultKind::ServerAnswersLost:
+    server.Relay->setCut(false, true);
+    undoLater(fault.Span, [&server] { server.Relay->setCut(false); });
+    break;
+  case FaultKind::ServerLate:
+    server.Relay->setDelay(LateOrders);
+    undoLater(fault.Span, [&server] { server.Relay->setDelay(Millis(0)); });
+    break;
+  case FaultKind::ServerReset:
+    server.Relay->reset();
+    break;
+  default:
+    break;
+  }
+}
+
+} // namespace citrongap::soak
--- /dev/null
+++ b/testing/soak/src/fault_plan.h
@@ -0,0 +1,79 @@
+// The faults of one seed: what befalls which part, when and for how long. They
+// come in series and overlap.
+#ifndef CITRONGAP_SOAK_FAULT_PLAN_H
+#define CITRONGAP_SOAK_FAULT_PLAN_H
+
+#include "judge.h"
+#include "soak_site.h"
+
+#include "citrongap/base/random.h"
+
+#include <string>
+#include <vector>
+
+namespace citrongap::soak {
+
+enum class FaultKind : std::uint8_t {
+  VmKilled,
+  VmStopped,
+  VmPaused,
+  StoreBusy,
+  StoreSilent,
+  StoreAnswersLost,
+  StoreSlow,
+  StoreReset,
+  StoreRebalances,
+  StoreCompacted,
+  ServerCrashes,
+  ServerLeaves,
+  ServerCut,
+  ServerAnswersLost,
+  ServerLate,
+  ServerReset,
+  Publish,
+  Count
+};
+
+const char *describe(FaultKind kind);
+
+struct PlannedFault {
+  MonoTime At;
+  FaultKind Kind;
+  /// Index of the entry VM or server that it meets.
+  std::size_t Target = 0;
+  /// All entry VMs instead of one.
+  bool Everywhere = false;
+  Millis Span{0};
+};
+
+/// `count` faults between `from` and `until`, the same for the same seed.
+std::vector<PlannedFault> planFaults(std::uint64_t seed, std::size_t count,
+                                     MonoTime from, MonoTime until,
+                                     const SiteShape &shape);
+
+/// Carries faults out and takes them away after their span.
+class FaultRunner {
+public:
+  FaultRunner(EventLoop &loop, SoakSite &site, Judge &judge)
+      : Loop(loop), Site(site), Judging(judge) {}
+
+  void schedule(const PlannedFault &fault);
+  /// The queue "extra" is in what was published last.
+  bool extraPublished() const { return Extra; }
+
+private:
+  void begin(const PlannedFault &fault);
+  void onVm(const PlannedFault &fault, SoakVm &vm);
+  void onServer(const PlannedFault &fault, SoakServer &server);
+  void undoLater(Millis span, std::function<void()> undo);
+
+  EventLoop &Loop;
+  SoakSite &Site;
+  Judge &Judging;
+  std::vector<Timer> Timers;
+  bool Extra = true;
+};
+
+} // namespace citrongap::soak
+
+#endif // CITRONGAP_SOAK_FAULT_PLAN_H
--- /dev/null
+++ b/testing/soak/src/soak_site.cpp
@@ -0,0 +1,227 @@
+// Starts, stops and disturbs the parts of the site.
+#include "soak_site.h"
+
+#include "citrongap/testing/loopback.h"
+#include "site_messages.h"
+
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+#include <utility>
+
+namespace citrongap::soak {
+
+namespace {
+
+constexpr std::uint16_t CallersPort = 8521;
+constexpr std::uint16_t ReadinessPort = 8523;
+constexpr std::uint16_t PeersPort = 8526;
+constexpr std::uint16_t MetricsPort = 7001;
+constexpr std::uint16_t StandinPort = 9000;
+constexpr std::uint16_t RelayPort = 9500;
+constexpr unsigned StoreHost = 1;
+constexpr unsigned ServersHost = 2;
+constexpr unsigned FirstVmHost = 10;
+/// A server that leaves is there so long after it said so.
+constexpr Millis LeavesAfter{3000};
+/// Until a process has read the jobs and the list of servers, and its peers
+/// have noticed its end.
+constexpr Millis SettlesWithin{4000};
+/// Clocks of backend servers may be 2% slow.
+constexpr double SlowClock = 0.98;
+
+std::uint16_t port(std::uint16_t base, unsigned n) {
+  return static_cast<std::uint16_t>(base + n);
+}
+
+} // namespace
+
+SoakSite::SoakSite(EventLoop &loop, SiteShape shape,
+                   std::function<void(const wire::RunEvent &)> onRun)
+    : Loop(loop), Shape(std::move(shape)), Store(loop),
+      Model({}, std::move(onRun)) {
+  for (const auto &[name, priority] :
+       {std::pair("urgent", 0U), {"batch", 1U}, {"extra", 1U}}) {
+    QueueRules queue;
+    queue.Id = QueueId(name);
+    queue.Host = "soak.example";
+    queue.PathPrefix = fmt::format("/{}/", name);
+    queue.Service = "render";
+    queue.Priority = priority;
+    queue.MaxAttempts = 3;
+    Published.Queues.push_back(queue);
+  }
+  const ClientAccountId account("quetta");
+  Published.Accounts[account] = {account, 16};
+  Published.AccountByKey["key-quetta"] = account;
+}
+
+bool SoakSite::start() {
+  publish(true);
+  for (unsigned n = 0; n < Shape.Servers; ++n)
+    addServer(n);
+  for (unsigned n = 0; n < Shape.EntryVms; ++n)
+    addVm(n);
+  for (SoakServer &it : Servers)
+    if (!it.Standin->listen(it.At) || !it.Relay->ok())
+      return false;
+  for (SoakVm &it : Vms) {
+    if (!it.ToStore->ok())
+      return false;
+    startVm(it);
+  }
+  return true;
+}
+
+void SoakSite::addServer(unsigned n) {
+  SoakServer &it = Servers.emplace_back();
+  it.Entry.Life = {BackendServerId(fmt::format("i-{}", n)),
+                   toMillis(wallNow())};
+  it.Entry.Machine = fmt::format("m-{}", n);
+  it.Entry.Service = "render";
+  it.Entry.Ip = testing::loopbackIp(ServersHost);
+  it.Entry.Port = port(RelayPort, n);
+  it.Entry.DataCentre = DataCentreId("dc-1");
+  it.Entry.Rack = RackId(fmt::format("r-{}", n / Shape.ServersPerRack));
+  it.Entry.Capacity = {128000, 512000, 8};
+  it.At = {it.Entry.Ip, port(StandinPort, n)};
+  it.Standin =
+      std::make_unique<wire::BackendStandin>(Loop, Model, it.Entry.Life.Id);
+  it.Relay = std::make_unique<testing::Relay>(
+      Loop, Endpoint{it.Entry.Ip, it.Entry.Port}, it.At);
+  Model.add(it.Entry.Life, n % 2 == 0 ? SlowClock : 1, monoNow());
+  put(it);
+}
+
+void SoakSite::addVm(unsigned n) {
+  SoakVm &it = Vms.emplace_back();
+  it.Name = fmt::format("vm-{}", n);
+  const std::string ip = testing::loopbackIp(FirstVmHost + n);
+  const std::string storeIp = testing::loopbackIp(StoreHost);
+  it.Callers = {ip, CallersPort};
+  it.Readiness = {ip, ReadinessPort};
+  it.Settings = fmt::format("{}/{}.ini", Shape.Directory, it.Name);
+  it.Log = fmt::format("{}/{}.log", Shape.Directory, it.Name);
+  const Endpoint standin{storeIp, port(StandinPort, n)};
+  const Endpoint relay{storeIp, port(RelayPort, n)};
+  it.Store = std::make_unique<wire::StoreStandin>(
+      Loop, Store,
+      std::set<TopicId>{TopicId(wire::OperatorTopic),
+                        TopicId(wire::ServersTopic)});
+  // A port that is taken shows as a relay whose calls fail.
+  (void)it.Store->listen(standin);
+  it.ToStore = std::make_unique<testing::Relay>(Loop, relay, standin);
+  std::ofstream(it.Settings)
+      << fmt::format("[entry_vm]\nid = {}\ndata_centre = dc-1\nip = {}\n"
+                     "callers = {}\nreadiness = {}\npeers = {}:{}\n"
+                     "metrics_port = {}\n[store]\naddress = {}\n"
+                     "shortest_membership_ms = 1000\n",
+                     it.Name, ip, it.Callers.str(), it.Readiness.str(), ip,
+                     PeersPort, MetricsPort, relay.str());
+}
+
+void SoakSite::startVm(SoakVm &vm) {
+  vm.Child = std::make_unique<testing::Process>(
+      std::vector<std::string>{Shape.Program, "--settings", vm.Settings},
+      vm.Log);
+  vm.StoppedAt.reset();
+  vm.EndedAt.reset();
+  vm.StartAt.reset();
+}
+
+void SoakSite::kill(SoakVm &vm, Millis away) {
+  vm.Child->signal(SIGKILL);
+  vm.DisturbedUntil = monoNow() + away + SettlesWithin;
+  vm.StartAt = monoNow() + away;
+}
+
+void SoakSite::stop(SoakVm &vm, Millis away) {
+  if (!vm.StoppedAt && vm.Child->running())
+    vm.StoppedAt = monoNow();
+  vm.Child->signal(SIGTERM);
+  // As the platform does after the grace time.
+  constexpr Millis Grace{6000};
+  vm.StartAt = monoNow() + Grace + away;
+}
+
+void SoakSite::pause(SoakVm &vm, Millis span) {
+  vm.Child->signal(SIGSTOP);
+  vm.DisturbedUntil = monoNow() + span + SettlesWithin;
+  Pauses.push_back(
+      Loop.at(monoNow() + span, [&vm] { vm.Child->signal(SIGCONT); }));
+}
+
+void SoakSite::put(const SoakServer &server) {
+  Store.put(
+      TopicId(wire::ServersTopic),
+      {server.Entry.Life.Id.str(), wire::encodeServerEntry(server.Entry)});
+}
+
+void SoakSite::crash(SoakServer &server, Millis away) {
+  const MonoTime now = monoNow();
+  Model.crash(server.Entry.Life.Id, now);
+  Store.put(TopicId(wire::ServersTopic),
+            {server.Entry.Life.Id.str(), std::nullopt});
+  server.DrainingSince.reset();
+  server.ReturnsAt = now + away;
+}
+
+void SoakSite::drain(SoakServer &server) {
+  if (server.DrainingSince || server.ReturnsAt)
+    return;
+  server.DrainingSince = monoNow();
+  server.Entry.Draining = true;
+  server.Entry.DrainRemainingMs = LeavesAfter.count();
+  put(server);
+}
+
+void SoakSite::publish(bool withExtra) {
+  Published.InForce = Published.InForce.next();
+  SiteConfiguration shown = Published;
+  if (!withExtra)
+    shown.Queues.pop_back();
+  Store.put(TopicId(wire::OperatorTopic),
+            {wire::OperatorKey, wire::encodeConfiguration(shown)});
+}
+
+void SoakSite::heal() {
+  for (SoakVm &it : Vms) {
+    it.Store->faults() = {};
+    it.ToStore->setCut(false);
+    it.ToStore->setDelay(Millis(0));
+    it.Child->signal(SIGCONT);
+    if (it.StartAt)
+      it.StartAt = std::min(*it.StartAt, monoNow() + Seconds(1));
+  }
+  for (SoakServer &it : Servers) {
+    it.Relay->setCut(false);
+    it.Relay->setDelay(Millis(0));
+  }
+}
+
+void SoakSite::tend() {
+  const MonoTime now = monoNow();
+  for (SoakVm &it : Vms) {
+    const bool running = it.Child->running();
+    if (!running && !it.EndedAt)
+      it.EndedAt = now;
+    if (it.StartAt && now >= *it.StartAt)
+      startVm(it);
+    else if (!running && it.StoppedAt)
+      startVm(it);
+  }
+  for (SoakServer &it : Servers) {
+    if (it.DrainingSince && now >= *it.DrainingSince + LeavesAfter)
+      crash(it, Millis(1000));
+    if (!it.ReturnsAt || now < *it.ReturnsAt)
+      continue;
+    it.ReturnsAt.reset();
+    it.Entry.Life.BornMs = toMillis(wallNow());
+    it.Entry.Draining = false;
+    it.Entry.DrainRemainingMs = 0;
+    Model.add(it.Entry.Life, 1, now);
+    put(it);
+  }
+}
+
+} // namespace citrongap::soak
--- /dev/null
+++ b/testing/soak/src/soak_site.h
@@ -0,0 +1,113 @@
+// The site under test: real entry VMs as processes on loopback; the store and
+// the backend servers in this process, each behind a relay that can be cut,
+// delayed and reset.
+#ifndef CITRONGAP_SOAK_SITE_H
+#define CITRONGAP_SOAK_SITE_H
+
+#include "backend_standin.h"
+#include "store_standin.h"
+
+#include "citrongap/control/site_configuration.h"
+#include "citrongap/testing/process.h"
+#include "citrongap/testing/relay.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citrongap::soak {
+
+struct SiteShape {
+  unsigned EntryVms = 4;
+  unsigned Servers = 12;
+  unsigned ServersPerRack = 4;
+  /// The program of an entry VM.
+  std::string Program;
+  /// Settings and logs go here; it exists.
+  std::string Directory;
+};
+
+/// One entry VM and what was last done to its process.
+struct SoakVm {
+  std::string Name;
+  Endpoint Callers;
+  Endpoint Readiness;
+  std::string Settings;
+  std::string Log;
+  std::unique_ptr<wire::StoreStandin> Store;
+  std::unique_ptr<testing::Relay> ToStore;
+  std::unique_ptr<testing::Process> Child;
+  /// A planned stop began, and nothing else befell the process since its start.
+  std::optional<MonoTime> StoppedAt;
+  std::optional<MonoTime> EndedAt;
+  /// It was killed or paused, or its way to the store failed, until then.
+  MonoTime DisturbedUntil;
+  bool Ready = false;
+  /// Its process is to be there again at this time.
+  std::optional<MonoTime> StartAt;
+};
+
+struct SoakServer {
+  ServerEntry Entry;
+  /// Where the stand-in listens; the entry names the relay.
+  Endpoint At;
+  std::unique_ptr<wire::BackendStandin> Standin;
+  std::unique_ptr<testing::Relay> Relay;
+  std::optional<MonoTime> DrainingSince;
+  /// It is in the list again at this time, as a new life.
+  std::optional<MonoTime> ReturnsAt;
+};
+
+class SoakSite {
+public:
+  SoakSite(EventLoop &loop, SiteShape shape,
+           std::function<void(const wire::RunEvent &)> onRun);
+
+  /// False when an address can't be bound.
+  bool start();
+  std::vector<SoakVm> &vms() { return Vms; }
+  std::vector<SoakServer> &servers() { return Servers; }
+  wire::BackendsModel &model() { return Model; }
+  MemoryStore &store() { return Store; }
+
+  // Entry VMs.
+  void startVm(SoakVm &vm);
+  void kill(SoakVm &vm, Millis away);
+  void stop(SoakVm &vm, Millis away);
+  void pause(SoakVm &vm, Millis span);
+
+  // Backend servers.
+  void crash(SoakServer &server, Millis away);
+  void drain(SoakServer &server);
+
+  // Operators.
+  /// Publishes the next revision, with or without the queue "extra".
+  void publish(bool withExtra);
+  const SiteConfiguration &configuration() const { return Published; }
+
+  /// Takes all faults away; processes that are gone start again.
+  void heal();
+  /// Notices ends of processes, and starts those that are due.
+  void tend();
+
+private:
+  void put(const SoakServer &server);
+  void addVm(unsigned n);
+  void addServer(unsigned n);
+
+  EventLoop &Loop;
+  SiteShape Shape;
+  MemoryStore Store;
+  wire::BackendsModel Model;
+  std::vector<SoakVm> Vms;
+  std::vector<SoakServer> Servers;
+  SiteConfiguration Published;
+  std::vector<Timer> Pauses;
+};
+
+} // namespace citrongap::soak
+
+#endif // CITRONGAP_SOAK_SITE_H
--- a/testing/scenario/src/scenario/process.h
+++ b/testing/support/include/citrongap/testing/process.h
@@ -1,18 +1,18 @@
-// A child process of the runner: started, signalled and reaped by its own pid.
-#ifndef CITRONGAP_SCENARIO_SRC_PROCESS_H
-#define CITRONGAP_SCENARIO_SRC_PROCESS_H
+// A child process of a test: started, signalled and reaped by its own pid.
+#ifndef CITRONGAP_TESTING_PROCESS_H
+#define CITRONGAP_TESTING_PROCESS_H
 
 #include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
 
-namespace citrongap::scenario {
+namespace citrongap::testing {
 
 class Process {
 public:
-  /// Starts `arguments` with standard error in `logPath`. The child dies with
-  /// the runner.
+  /// Starts `arguments` with its output appended to `logPath`. The child dies
+  /// with the test.
   Process(std::vector<std::string> arguments, const std::string &logPath);
   /// Kills it and waits for its end.
   ~Process();
@@ -22,16 +22,20 @@
   /// Does nothing once it has ended.
   void signal(int number);
   bool running();
+  /// Waits for its end.
+  void wait();
   /// Its exit code; null while it runs or when a signal ended it.
   std::optional<int> exitCode() const { return Code; }
 
 private:
+  void noteEnd(int status);
+
   /// -1 when it could not be started; reaped only when `Ended`.
   pid_t Pid = -1;
   bool Ended = false;
   std::optional<int> Code;
 };
 
-} // namespace citrongap::scenario
+} // namespace citrongap::testing
 
-#endif // CITRONGAP_SCENARIO_SRC_PROCESS_H
+#endif // CITRONGAP_TESTING_PROCESS_H
--- a/testing/support/include/citrongap/testing/processes.h
+++ b/testing/support/include/citrongap/testing/processes.h
@@ -1,10 +1,12 @@
-// Child processes of a test: started, signalled and ended by pid.
+// Child processes of a test by name.
 #ifndef CITRONGAP_TESTING_PROCESSES_H
 #define CITRONGAP_TESTING_PROCESSES_H
 
+#include "citrongap/testing/process.h"
+
 #include <map>
+#include <memory>
 #include <string>
-#include <sys/types.h>
 #include <vector>
 
 namespace citrongap::testing {
@@ -12,13 +14,8 @@
 /// Ends with SIGKILL whatever it started and still runs.
 class Processes {
 public:
-  Processes() = default;
-  ~Processes();
-  Processes(const Processes &) = delete;
-  Processes &operator=(const Processes &) = delete;
-
-  /// Starts `command`; its standard error goes to `logPath`. False when it
-  /// can't be started.
+  /// Starts `command`; its output goes to `logPath`. False when it can't be
+  /// started.
   bool start(const std::string &name, const std::vector<std::string> &command,
              const std::string &logPath);
   /// False when no such process runs.
@@ -28,7 +25,7 @@
   int wait(const std::string &name);
 
 private:
-  std::map<std::string, pid_t> Pids;
+  std::map<std::string, std::unique_ptr<Process>> Children;
 };
 
 } // namespace citrongap::testing
--- a/testing/scenario/src/scenario/relay.h
+++ b/testing/support/include/citrongap/testing/relay.h
@@ -1,11 +1,13 @@
-// Forwards TCP and UDP from one address to another and can be cut: then
-// nothing passes and nothing is closed, as in a network partition.
-#ifndef CITRONGAP_SCENARIO_SRC_RELAY_H
-#define CITRONGAP_SCENARIO_SRC_RELAY_H
+// Forwards TCP and UDP from one address to another and can be cut, as a whole
+// or one way: then nothing passes and nothing is closed, as in a network
+// partition. TCP can be delayed and its connections reset.
+#ifndef CITRONGAP_TESTING_RELAY_H
+#define CITRONGAP_TESTING_RELAY_H
 
 #include "citrongap/net/endpoint.h"
 #include "citrongap/net/event_loop.h"
 
+#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -14,7 +16,7 @@
 struct event;
 struct evconnlistener;
 
-namespace citrongap::scenario {
+namespace citrongap::testing {
 
 class Relay {
 public:
@@ -25,7 +27,13 @@
 
   /// False when the address could not be bound.
   bool ok() const { return Listener && Inbound; }
-  void setCut(bool cut);
+  void setCut(bool cut) { setCut(cut, cut); }
+  void setCut(bool toTarget, bool fromTarget);
+  /// Of TCP, each way. Bytes that are on their way arrive even if the sender
+  /// closes meanwhile, as an order that is carried out late.
+  void setDelay(Millis delay) { Delay = delay; }
+  /// Resets all connections.
+  void reset();
 
 private:
   struct Pipe;
@@ -38,7 +46,9 @@
   EventLoop &Loop;
   Endpoint Listen;
   Endpoint Target;
-  bool Cut = false;
+  bool CutTo = false;
+  bool CutFrom = false;
+  Millis Delay{0};
   evconnlistener *Listener = nullptr;
   int Socket = -1;
   event *Inbound = nullptr;
@@ -47,6 +57,6 @@
   std::map<Endpoint, std::unique_ptr<UdpSession>> Sessions;
 };
 
-} // namespace citrongap::scenario
+} // namespace citrongap::testing
 
-#endif // CITRONGAP_SCENARIO_SRC_RELAY_H
+#endif // CITRONGAP_TESTING_RELAY_H
--- a/testing/scenario/src/scenario/process.cpp
+++ b/testing/support/src/process.cpp
@@ -1,5 +1,5 @@
-// Children of the runner.
-#include "process.h"
+// fork and exec for tests.
+#include "citrongap/testing/process.h"
 
 #include <csignal>
 #include <fcntl.h>
@@ -7,7 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-namespace citrongap::scenario {
+namespace citrongap::testing {
 
 namespace {
 
@@ -42,8 +42,7 @@
 
 Process::~Process() {
   signal(SIGKILL);
-  if (!Ended)
-    waitpid(Pid, nullptr, 0);
+  wait();
 }
 
 void Process::signal(int number) {
@@ -52,15 +51,22 @@
 }
 
 bool Process::running() {
-  if (Ended)
-    return false;
   int status = 0;
-  if (waitpid(Pid, &status, WNOHANG) != Pid)
-    return true;
+  if (!Ended && waitpid(Pid, &status, WNOHANG) == Pid)
+    noteEnd(status);
+  return !Ended;
+}
+
+void Process::wait() {
+  int status = 0;
+  if (!Ended && waitpid(Pid, &status, 0) == Pid)
+    noteEnd(status);
+}
+
+void Process::noteEnd(int status) {
   Ended = true;
   if (WIFEXITED(status))
     Code = WEXITSTATUS(status);
-  return false;
 }
 
-} // namespace citrongap::scenario
+} // namespace citrongap::testing
--- a/testing/scenario/src/scenario/relay.cpp
+++ b/testing/support/src/relay.cpp
@@ -1,18 +1,21 @@
 // TCP pipes by bufferevents, UDP by one connected socket for each sender.
-#include "relay.h"
+#include "citrongap/testing/relay.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <list>
 #include <netinet/in.h>
+#include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
 
-namespace citrongap::scenario {
+namespace citrongap::testing {
 
 namespace {
 
@@ -58,19 +61,45 @@
     bufferevent_free(Near);
     bufferevent_free(Far);
   }
-  void setCut(bool cut) const {
-    for (bufferevent *it : {Near, Far}) {
-      if (cut)
-        bufferevent_disable(it, EV_READ | EV_WRITE);
-      else
-        bufferevent_enable(it, EV_READ | EV_WRITE);
+  /// Nothing is read from one side and written to the other.
+  static void cutWay(bufferevent *from, bufferevent *to, bool cut) {
+    if (cut) {
+      bufferevent_disable(from, EV_READ);
+      bufferevent_disable(to, EV_WRITE);
+    } else {
+      bufferevent_enable(from, EV_READ);
+      bufferevent_enable(to, EV_WRITE);
     }
   }
-  void forward(bufferevent *from) const {
+  void setCut(bool toTarget, bool fromTarget) const {
+    cutWay(Near, Far, toTarget);
+    cutWay(Far, Near, fromTarget);
+  }
+  void forward(bufferevent *from) {
     bufferevent *to = from == Near ? Far : Near;
-    evbuffer_add_buffer(bufferevent_get_output(to),
-                        bufferevent_get_input(from));
+    if (Owner->Delay.count() == 0 && OnTheWay.empty()) {
+      evbuffer_add_buffer(bufferevent_get_output(to),
+                          bufferevent_get_input(from));
+      return;
+    }
+    evbuffer *input = bufferevent_get_input(from);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    LastDue = std::max(LastDue, monoNow() + Owner->Delay);
+    OnTheWay.push_back(
+        Owner->Loop.at(LastDue, [this, to, bytes = std::move(bytes)] {
+          bufferevent_write(to, bytes.data(), bytes.size());
+          Arrived.splice(Arrived.end(), OnTheWay, OnTheWay.begin());
+          if (Closing && OnTheWay.empty())
+            Owner->close(this);
+        }));
   }
+  MonoTime LastDue;
+  /// Bytes under delay, in order; timers of one delay fire in that order.
+  std::list<Timer> OnTheWay;
+  /// Timers that have fired; freed with the pipe, since one may be running.
+  std::list<Timer> Arrived;
+  bool Closing = false;
 };
 
 /// What one sender sends on, and its replies.
@@ -91,7 +120,7 @@
   void onReply() const {
     std::array<char, MaxDatagram> buf;
     const auto n = recv(Socket, buf.data(), buf.size(), 0);
-    if (n < 0 || Owner->Cut)
+    if (n < 0 || Owner->CutFrom)
       return;
     const sockaddr_in to = addressOf(Sender);
     sendto(Owner->Socket, buf.data(), static_cast<std::size_t>(n), 0,
@@ -130,10 +159,20 @@
     ::close(Socket);
 }
 
-void Relay::setCut(bool cut) {
-  Cut = cut;
+void Relay::setCut(bool toTarget, bool fromTarget) {
+  CutTo = toTarget;
+  CutFrom = fromTarget;
+  for (const auto &it : Pipes)
+    it->setCut(toTarget, fromTarget);
+}
+
+void Relay::reset() {
+  const linger abort{1, 0};
   for (const auto &it : Pipes)
-    it->setCut(cut);
+    for (bufferevent *end : {it->Near, it->Far})
+      setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &abort,
+                 sizeof abort);
+  Pipes.clear();
 }
 
 void Relay::onAccept(int fd) {
@@ -155,14 +194,17 @@
     bufferevent_setcb(it, onRead, nullptr, onEvent, pipe);
   bufferevent_socket_connect(
       pipe->Far, reinterpret_cast<const sockaddr *>(&target), sizeof target);
-  pipe->setCut(Cut);
+  pipe->setCut(CutTo, CutFrom);
 }
 
 void Relay::close(Pipe *pipe) {
   for (auto it = Pipes.begin(); it != Pipes.end(); ++it) {
     if (it->get() != pipe)
       continue;
-    Pipes.erase(it);
+    // What is on its way still arrives.
+    pipe->Closing = true;
+    if (pipe->OnTheWay.empty())
+      Pipes.erase(it);
     return;
   }
 }
@@ -173,7 +215,7 @@
   socklen_t size = sizeof from;
   const auto n = recvfrom(Socket, buf.data(), buf.size(), 0,
                           reinterpret_cast<sockaddr *>(&from), &size);
-  if (n < 0 || Cut)
+  if (n < 0 || CutTo)
     return;
   auto &session = Sessions[endpointOf(from)];
   if (!session) {
@@ -194,4 +236,4 @@
   send(session->Socket, buf.data(), static_cast<std::size_t>(n), 0);
 }
 
-} // namespace citrongap::scenario
+} // namespace citrongap::testing
--- a/testing/scenario/src/scenario/relay_test.cpp
+++ b/testing/support/src/relay_test.cpp
@@ -1,5 +1,5 @@
 // A relay forwards both protocols, and nothing while it is cut.
-#include "relay.h"
+#include "citrongap/testing/relay.h"
 
 #include "citrongap/net/http_client.h"
 #include "citrongap/net/http_server.h"
@@ -12,12 +12,12 @@
 #include <unistd.h>
 
 using namespace citrongap;
-using namespace citrongap::scenario;
+using namespace citrongap::testing;
 
 namespace {
 
-const Endpoint Target{testing::loopbackIp(1), 18661};
-const Endpoint Through{testing::loopbackIp(2), 18661};
+const Endpoint Target{loopbackIp(1), 18661};
+const Endpoint Through{loopbackIp(2), 18661};
 
 /// A UDP socket that is closed with the test.
 class Udp {
@@ -93,7 +93,7 @@
   Relay relay(loop, Through, Target);
   BOOST_REQUIRE(relay.ok());
   const Udp far(Target);
-  const Udp near({testing::loopbackIp(3), 18662});
+  const Udp near({loopbackIp(3), 18662});
   near.send(Udp::addressOf(Through));
   turn(loop);
   const auto from = far.receive();
