--- a/testing/soak/src/soak_callers.cpp
+++ b/testing/soak/src/soak_callers.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned CancelPercent = 8;
 constexpr unsigned FailPercent = 4;
 constexpr unsigned GangPercent = 40;
+constexpr unsigned LongPercent = 30;
 /// A connection that ends within this of its process may have lost a request
 /// that was never read.
 constexpr Millis EndRace{60};
@@ -70,7 +71,9 @@
   step.Gang = dice(GangPercent);
   step.Count = static_cast<std::uint32_t>(Numbers.between(1, 6));
   step.Needs = {1000, 1000, 1};
-  job.Program.Work = Millis(Numbers.between(100, 1500));
+  // Some outlast a fault and what it leaves behind.
+  job.Program.Work = Millis(dice(LongPercent) ? Numbers.between(1500, 6000)
+                                              : Numbers.between(100, 1500));
   job.Program.Gang = step.Gang ? step.Count : 1;
   job.Program.Fails = dice(FailPercent);
   step.EstimateMs = job.Program.Work.count();
--- a/testing/soak/src/soak_site.cpp
+++ b/testing/soak/src/soak_site.cpp
@@ -121,6 +121,8 @@
 }
 
 void SoakSite::startVm(SoakVm &vm) {
+  // A process that has outstayed its grace time is killed first.
+  vm.Child.reset();
   vm.Child = std::make_unique<testing::Process>(
       std::vector<std::string>{Shape.Program, "--settings", vm.Settings},
       vm.Log);
@@ -190,7 +192,7 @@
     it.ToStore->setCut(false);
     it.ToStore->setDelay(Millis(0));
     it.Child->signal(SIGCONT);
-    if (it.StartAt)
+    if (it.StartAt && !it.Child->running())
       it.StartAt = std::min(*it.StartAt, monoNow() + Seconds(1));
   }
   for (SoakServer &it : Servers) {
