Settings reload other VMs' addresses; counters of orders, ends and waits; one reader of addresses, dead members out

Metrics: stops by reason, ends by kind, waits by rank, take-overs and losses of the store, beside answers and their times. parseEndpoint is one, in net (four copies before). Unused members and fields that were decoded for nothing are gone.

--- a/packages/cli/src/call.cpp
+++ b/packages/cli/src/call.cpp
@@ -4,8 +4,6 @@
 #include "citrongap/net/event_loop.h"
 #include "citrongap/net/http_client.h"
 
-#include <arpa/inet.h>
-#include <charconv>
 #include <cstdio>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -25,22 +23,6 @@
   return result;
 }
 
-std::optional<Endpoint> parseEndpoint(const std::string &text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos)
-    return std::nullopt;
-  Endpoint out{text.substr(0, colon), 0};
-  in_addr parsed{};
-  if (inet_pton(AF_INET, out.Ip.c_str(), &parsed) != 1)
-    return std::nullopt;
-  const char *end = text.data() + text.size();
-  const auto [ptr, ec] =
-      std::from_chars(text.data() + colon + 1, end, out.Port);
-  if (ec != std::errc() || ptr != end || out.Port == 0)
-    return std::nullopt;
-  return out;
-}
-
 int withOptions(cxxopts::Options options, const Arguments &arguments,
                 const std::function<int(const cxxopts::ParseResult &)> &body) {
   options.add_options()("h,help", "show this help");
--- a/packages/cli/src/call.h
+++ b/packages/cli/src/call.h
@@ -19,9 +19,6 @@
 HttpResult call(const Endpoint &to, const HttpRequest &request,
                 Millis patience);
 
-/// "127.0.0.1:8080"; null when it is not IP:PORT.
-std::optional<Endpoint> parseEndpoint(const std::string &text);
-
 /// Parses arguments and runs `body`; usage errors and --help end here.
 int withOptions(cxxopts::Options options, const Arguments &arguments,
                 const std::function<int(const cxxopts::ParseResult &)> &body);
--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -4,11 +4,11 @@
 #ifndef CITRONGAP_CONTROL_ENTRY_NODE_H
 #define CITRONGAP_CONTROL_ENTRY_NODE_H
 
+#include "citrongap/control/control_metrics.h"
 #include "citrongap/control/pod_controller.h"
 #include "citrongap/control/request_front.h"
 #include "citrongap/store/owner_election.h"
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -80,6 +80,7 @@
   Timer TakeOverAgain;
   EntryNodeSettings Settings;
   SiteReaders Readers;
+  ControlMetrics Metrics;
   WorkBoard Board;
   TopicTail JobsTail;
   TopicTail ConfigurationTail;
@@ -88,11 +89,6 @@
   PodController Controller;
   OwnerElection Election;
   bool Draining = false;
-  std::map<std::string, std::uint64_t> Answers;
-  /// Upper bounds of the latency histogram, in milliseconds.
-  static constexpr std::array<std::int64_t, 8> Bounds{5,   10,  25,   50,
-                                                      100, 250, 1000, 3000};
-  std::array<std::uint64_t, Bounds.size() + 1> Latencies{};
 };
 
 } // namespace citrongap
--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -4,6 +4,7 @@
 #ifndef CITRONGAP_CONTROL_POD_CONTROLLER_H
 #define CITRONGAP_CONTROL_POD_CONTROLLER_H
 
+#include "citrongap/control/control_metrics.h"
 #include "citrongap/control/server_link.h"
 #include "citrongap/control/site_configuration.h"
 #include "citrongap/control/work_board.h"
@@ -43,8 +44,8 @@
 public:
   PodController(EventLoop &loop, StorePort &store, FleetPort &fleet,
                 WorkBoard &board, TopicTail &jobsTail, EventLog &log,
-                TopicId jobs, TopicId servers, ReadServerEntry readEntry,
-                ControllerTerms terms);
+                ControlMetrics &metrics, TopicId jobs, TopicId servers,
+                ReadServerEntry readEntry, ControllerTerms terms);
   ~PodController();
 
   /// Becomes the owner under `epoch`: fences earlier owners, reads what they
@@ -54,7 +55,6 @@
   void stepDown(const char *reason);
   bool owns() const { return Planner != nullptr; }
   bool active() const { return ActiveOwner; }
-  Epoch epoch() const { return Token; }
 
   void setGuarantees(std::map<ClientAccountId, std::int64_t> gpus);
   /// A job came, or was cancelled.
@@ -95,6 +95,7 @@
   WorkBoard &Board;
   TopicTail &JobsTail;
   EventLog &Log;
+  ControlMetrics &Metrics;
   TopicId Jobs;
   ReadServerEntry ReadEntry;
   ControllerTerms Terms;
--- a/packages/control/include/citrongap/control/request_front.h
+++ b/packages/control/include/citrongap/control/request_front.h
@@ -103,7 +103,6 @@
   /// Replies exactly once.
   void handle(const CallerRequest &request, const Reply &reply);
   void setConfiguration(SiteConfiguration configuration);
-  bool configured() const { return Configuration.has_value(); }
   const SiteConfiguration *configuration() const {
     return Configuration ? &*Configuration : nullptr;
   }
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -25,6 +25,7 @@
   /// An order or the rest of a poll is answered within this, or counts as
   /// unanswered.
   Millis AnswerWithin{700};
+  /// Less than a caller notices, and 7 calls a second to a server that is away.
   Millis RetryAfter{150};
   /// After a stop was answered, the lists are read beside the long poll; most
   /// runs have ended by then.
@@ -54,6 +55,7 @@
     std::function<void(const ServerLife &)> Fenced;
     /// Another life answers at the address.
     std::function<void(const ServerLife &)> Reborn;
+    std::function<void(RunEnding)> Ended;
     /// Its leases have lapsed while it could not be reached.
     std::function<void(const ServerLife &)> Lapsed;
   };
@@ -74,8 +76,6 @@
   std::uint64_t seenUpTo() const { return SeenUpTo; }
   void recordedUpTo(std::uint64_t number);
   bool reachable() const { return Failures < Terms.UnreachableAfter; }
-  bool synchronized() const { return Synchronized; }
-  const ServerLife &life() const { return Life; }
 
 private:
   struct Delivery {
@@ -103,7 +103,7 @@
 
   void sendStart(const TaskName &task);
   void sendStop(const TaskName &task);
-  void onStart(const TaskName &task, std::uint32_t run, MonoTime sentAt,
+  void onStart(const TaskName &task, std::uint32_t run,
                FleetResult<OrderDone> result);
   void onStop(const TaskName &task, std::uint32_t run,
               FleetResult<OrderDone> result);
--- a/packages/control/include/citrongap/control/site_configuration.h
+++ b/packages/control/include/citrongap/control/site_configuration.h
@@ -25,7 +25,6 @@
   std::uint32_t MaxAttempts = 1;
   /// No key is asked for.
   bool Public = false;
-  std::int64_t TimeoutMs = 0;
 };
 
 struct AccountRules {
--- /dev/null
+++ b/packages/control/src/control_metrics.cpp
@@ -0,0 +1,49 @@
+// Writes counters in the text format that common collectors read.
+#include "citrongap/control/control_metrics.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace citrongap {
+
+void LatencyHistogram::observe(Millis took) {
+  const auto bucket =
+      std::lower_bound(Bounds.begin(), Bounds.end(), took.count());
+  ++Counts[static_cast<std::size_t>(bucket - Bounds.begin())];
+}
+
+std::string LatencyHistogram::text(const std::string &name,
+                                   const std::string &labels) const {
+  std::string out;
+  std::uint64_t sum = 0;
+  const std::string comma = labels.empty() ? "" : ",";
+  for (std::size_t n = 0; n < Counts.size(); ++n) {
+    sum += Counts[n];
+    const std::string bound =
+        n < Bounds.size() ? fmt::format("{}", Bounds[n]) : "+Inf";
+    out += fmt::format("{}_bucket{{{}{}le=\"{}\"}} {}\n", name, labels, comma,
+                       bound, sum);
+  }
+  return out;
+}
+
+std::string ControlMetrics::text() const {
+  std::string out;
+  const auto counts = [&](const char *name, const char *label,
+                          const std::map<std::string, std::uint64_t> &by) {
+    for (const auto &[value, count] : by)
+      out += fmt::format("{}{{{}=\"{}\"}} {}\n", name, label, value, count);
+  };
+  counts("citrongap_answers_total", "answer", Answers);
+  counts("citrongap_stops_total", "reason", StopsByReason);
+  counts("citrongap_run_ends_total", "how", EndsByKind);
+  out += fmt::format("citrongap_take_overs_total {}\n", TakeOvers);
+  out += fmt::format("citrongap_store_losses_total {}\n", StoreLosses);
+  out += AnswerTime.text("citrongap_answer_ms", "");
+  for (const auto &[rank, times] : StartWait)
+    out +=
+        times.text("citrongap_start_wait_ms", fmt::format("rank=\"{}\"", rank));
+  return out;
+}
+
+} // namespace citrongap
--- /dev/null
+++ b/packages/control/src/control_metrics_test.cpp
@@ -0,0 +1,20 @@
+// Metrics are cumulative per bound and keep their labels.
+#include "citrongap/control/control_metrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace citrongap;
+
+BOOST_AUTO_TEST_CASE(histogram_counts_up_to_each_bound) {
+  ControlMetrics metrics;
+  for (const int ms : {5, 6, 20000})
+    metrics.StartWait[1].observe(Millis(ms));
+  const std::string text = metrics.text();
+  const auto has = [&](const char *line) {
+    return text.find(line) != std::string::npos;
+  };
+  BOOST_TEST(has("citrongap_start_wait_ms_bucket{rank=\"1\",le=\"5\"} 1\n"));
+  BOOST_TEST(has("citrongap_start_wait_ms_bucket{rank=\"1\",le=\"10\"} 2\n"));
+  BOOST_TEST(has("citrongap_start_wait_ms_bucket{rank=\"1\",le=\"+Inf\"} 3\n"));
+  BOOST_TEST(has("citrongap_take_overs_total 0\n"));
+}
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -1,7 +1,6 @@
 // Wires the parts of an entry VM.
 #include "citrongap/control/entry_node.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace citrongap {
@@ -48,8 +47,9 @@
                     Settings.Appender),
       Front(loop, Board, JobsTail, ConfigurationTail, FrontAppender, log,
             Readers.Submission, Settings.Front),
-      Controller(loop, store, fleet, Board, JobsTail, log, Settings.Jobs,
-                 Settings.Servers, Readers.Server, Settings.Controller),
+      Controller(loop, store, fleet, Board, JobsTail, log, Metrics,
+                 Settings.Jobs, Settings.Servers, Readers.Server,
+                 Settings.Controller),
       Election(loop, store, OwnersGroup,
                Settings.Self.str() + "/" + Settings.LifeId, Settings.Jobs,
                Settings.Election) {
@@ -75,6 +75,7 @@
   tail.OnHealth = [this, topic](bool works, const std::string &reason) {
     Log("store", works ? "regained" : "lost", "topic={} why=\"{}\"", topic,
         reason);
+    Metrics.StoreLosses += works ? 0U : 1U;
   };
 }
 
@@ -129,10 +130,8 @@
                        const RequestFront::Reply &reply) {
   const MonoTime came = monoNow();
   Front.handle(request, [this, came, reply](const CallerAnswer &answer) {
-    ++Answers[describe(answer)];
-    const auto took = (monoNow() - came).count();
-    const auto bucket = std::lower_bound(Bounds.begin(), Bounds.end(), took);
-    ++Latencies[static_cast<std::size_t>(bucket - Bounds.begin())];
+    ++Metrics.Answers[describe(answer)];
+    Metrics.AnswerTime.observe(monoNow() - came);
     reply(answer);
   });
 }
@@ -154,18 +153,7 @@
 }
 
 std::string EntryNode::metrics() const {
-  std::string out;
-  for (const auto &[answer, count] : Answers)
-    out += fmt::format("citrongap_answers_total{{answer=\"{}\"}} {}\n", answer,
-                       count);
-  std::uint64_t sum = 0;
-  for (std::size_t n = 0; n < Latencies.size(); ++n) {
-    sum += Latencies[n];
-    const std::string bound =
-        n < Bounds.size() ? fmt::format("{}", Bounds[n]) : "+Inf";
-    out +=
-        fmt::format("citrongap_answer_ms_bucket{{le=\"{}\"}} {}\n", bound, sum);
-  }
+  std::string out = Metrics.text();
   out += fmt::format("citrongap_jobs {}\n", Board.all().size());
   out += fmt::format("citrongap_owner {}\n", Controller.active() ? 1 : 0);
   out += fmt::format("citrongap_log_lines_dropped_total {}\n", Log.dropped());
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -20,12 +20,13 @@
 
 PodController::PodController(EventLoop &loop, StorePort &store,
                              FleetPort &fleet, WorkBoard &board,
-                             TopicTail &jobsTail, EventLog &log, TopicId jobs,
+                             TopicTail &jobsTail, EventLog &log,
+                             ControlMetrics &metrics, TopicId jobs,
                              TopicId servers, ReadServerEntry readEntry,
                              ControllerTerms terms)
     : Loop(loop), Store(store), Fleet(fleet), Board(board), JobsTail(jobsTail),
-      Log(log), Jobs(std::move(jobs)), ReadEntry(std::move(readEntry)),
-      Terms(terms),
+      Log(log), Metrics(metrics), Jobs(std::move(jobs)),
+      ReadEntry(std::move(readEntry)), Terms(terms),
       ServersTail(
           loop, store, std::move(servers),
           TailTerms{.Wait = Millis(0), .Spacing = terms.ServerListEvery},
@@ -71,6 +72,7 @@
 
 void PodController::activate() {
   ActiveOwner = true;
+  ++Metrics.TakeOvers;
   for (const auto &[id, entry] : Board.all())
     adopt(id);
   Log("owner", "took_over", "epoch={} jobs={} servers={} read_to={}",
@@ -169,9 +171,11 @@
   dropVanished();
   releaseUnlisted();
   PlannedRound round = Planner->plan(monoNow(), toMillis(wallNow()));
-  for (const StopOrder &it : round.Stops)
+  for (const StopOrder &it : round.Stops) {
+    ++Metrics.StopsByReason[it.Reason];
     if (const auto link = Links.find(it.Server); link != Links.end())
       link->second->stop(it);
+  }
   round.Stops.clear();
   record(std::move(round));
 }
@@ -235,6 +239,7 @@
         "task={} run={} server={} resumed={} rank={} waited_ms={} near={}",
         it.Task.str(), it.Run, it.Server.Id.str(), !it.Checkpoint.empty(),
         it.Rank, it.Waited.count(), it.Near);
+    Metrics.StartWait[it.Rank].observe(it.Waited);
     link->second->start(it);
   }
 }
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -88,6 +88,7 @@
   events.Reborn = [this](const ServerLife &life) {
     dropServer(ServerLife(life), "another life answers");
   };
+  events.Ended = [this](RunEnding how) { ++Metrics.EndsByKind[describe(how)]; };
   events.Lapsed = [this](const ServerLife &life) {
     Planner->leasesLapsed(life, monoNow());
     changed();
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -97,14 +97,14 @@
   const MonoTime now = monoNow();
   LeaseEndsBy = std::max(LeaseEndsBy, Terms.lapseOf(now));
   Fleet.start(At, it.Order, leaseUntil(), Token, now + Terms.AnswerWithin,
-              [this, task, run = it.Order.Run, now,
+              [this, task, run = it.Order.Run,
                alive = std::weak_ptr<int>(Alive)](auto result) {
                 if (alive.lock())
-                  onStart(task, run, now, std::move(result));
+                  onStart(task, run, std::move(result));
               });
 }
 
-void ServerLink::onStart(const TaskName &task, std::uint32_t run, MonoTime,
+void ServerLink::onStart(const TaskName &task, std::uint32_t run,
                          FleetResult<OrderDone> result) {
   const auto found = Deliveries.find(task);
   const bool known =
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -160,6 +160,7 @@
     Deliveries.erase(found);
   Log("run", "ended", "task={} run={} server={} how={} number={}",
       end.Task.str(), end.Run, Life.Id.str(), describe(end.How), end.Number);
+  Tell.Ended(end.How);
   Planner.runEnded(end.Task, end.Run, Life, end.How, end.Checkpoint, now,
                    toMillis(wallNow()));
 }
--- a/packages/net/include/citrongap/net/endpoint.h
+++ b/packages/net/include/citrongap/net/endpoint.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace citrongap {
@@ -18,6 +19,10 @@
   template <typename Archive> void serialize(Archive &ar) { ar(Ip, Port); }
 };
 
+/// Reads "IP:PORT"; nothing when the IP is no IPv4 number or the port is not
+/// from 1 to 65535.
+std::optional<Endpoint> parseEndpoint(const std::string &text);
+
 } // namespace citrongap
 
 #endif // CITRONGAP_NET_ENDPOINT_H
--- a/packages/store/include/citrongap/store/owner_election.h
+++ b/packages/store/include/citrongap/store/owner_election.h
@@ -14,14 +14,18 @@
 namespace citrongap {
 
 struct ElectionTerms {
-  /// Without a join for so long, the store gives the topic to another member.
+  /// Without a join for so long, the store gives the topic to another member;
+  /// five joins, so that one lost answer does not end an ownership.
   Millis LapseAfter{1500};
   /// Between joins; a topic that was left is noticed with the next one.
   Millis JoinEvery{300};
+  /// A slow store answers within 0.4 s.
   Millis AnswerWithin{600};
+  /// Several tries fit before the membership lapses.
   Millis RetryAfter{150};
   /// A small VM joins only when nobody has held the topic for two looks.
   bool Reluctant = false;
+  /// Two looks are longer than a membership lasts.
   Millis LookEvery{2000};
 };
 
--- a/packages/store/include/citrongap/store/store_relay.h
+++ b/packages/store/include/citrongap/store/store_relay.h
@@ -87,7 +87,6 @@
 
   /// Peers that may reach the store, by name.
   void setPeer(const std::string &name, const Endpoint &at);
-  void removePeer(const std::string &name);
   /// The store answered the last direct call.
   bool directWorks() const { return !Relaying; }
   /// A peer reached the store where this entry VM did not, or no longer needs
--- a/packages/store/src/store_relay.cpp
+++ b/packages/store/src/store_relay.cpp
@@ -63,8 +63,6 @@
   Peers[name] = at;
 }
 
-void RelayedStore::removePeer(const std::string &name) { Peers.erase(name); }
-
 void RelayedStore::run(StoreCall call, Millis wait, MonoTime deadline,
                        Direct direct, std::function<void(StoreReply)> done) {
   const bool isAppend = std::holds_alternative<AppendCall>(call);
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -129,8 +129,6 @@
 struct PlannedWork {
   WorkSpec Spec;
   WorkRecord Record;
-  /// Its wait is measured from here in this owner.
-  MonoTime KnownSince;
 };
 
 class PodPlanner {
--- a/packages/workload/include/citrongap/workload/server_table.h
+++ b/packages/workload/include/citrongap/workload/server_table.h
@@ -25,8 +25,6 @@
   bool Draining = false;
   /// While draining: milliseconds it stays at least.
   std::int64_t DrainRemainingMs = 0;
-  /// Milliseconds for which it is slow after its start.
-  std::int64_t ColdRemainingMs = 0;
 
   bool operator==(const ServerEntry &) const = default;
 };
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -74,7 +74,7 @@
 void PodPlanner::addWork(const WorkSpec &spec, WorkRecord record,
                          MonoTime now) {
   const auto [it, added] =
-      Works.try_emplace(spec.Id, PlannedWork{spec, std::move(record), now});
+      Works.try_emplace(spec.Id, PlannedWork{spec, std::move(record)});
   if (!added)
     return;
   PlannedWork &work = it->second;
--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -20,16 +20,13 @@
 } // namespace
 
 const char *describe(FaultKind kind) {
-  static constexpr std::array<const char *, 17> Names{
-      "vm killed",        "vm stopped",
-      "vm paused",        "store busy",
-      "store silent",     "store answers lost",
-      "store slow",       "store reset",
-      "store rebalances", "store compacted",
-      "server crashes",   "server leaves",
-      "server cut",       "server answers lost",
-      "server late",      "server reset",
-      "publish"};
+  static constexpr std::array<const char *, 18> Names{
+      "vm killed",          "vm stopped",      "vm paused",
+      "vm reloads",         "store busy",      "store silent",
+      "store answers lost", "store slow",      "store reset",
+      "store rebalances",   "store compacted", "server crashes",
+      "server leaves",      "server cut",      "server answers lost",
+      "server late",        "server reset",    "publish"};
   return Names.at(static_cast<std::size_t>(kind));
 }
 
@@ -107,6 +104,9 @@
   case FaultKind::VmPaused:
     Site.pause(vm, fault.Span);
     break;
+  case FaultKind::VmReloads:
+    Site.reload(vm);
+    break;
   case FaultKind::StoreBusy:
     vm.Store->faults().Busy = true;
     undoLater(fault.Span, [&vm] { vm.Store->faults().Busy = false; });
--- a/testing/soak/src/fault_plan.h
+++ b/testing/soak/src/fault_plan.h
@@ -17,6 +17,7 @@
   VmKilled,
   VmStopped,
   VmPaused,
+  VmReloads,
   StoreBusy,
   StoreSilent,
   StoreAnswersLost,
--- a/testing/soak/src/soak_site.cpp
+++ b/testing/soak/src/soak_site.cpp
@@ -111,13 +111,27 @@
   // A port that is taken shows as a relay whose calls fail.
   (void)it.Store->listen(standin);
   it.ToStore = std::make_unique<testing::Relay>(Loop, relay, standin);
-  std::ofstream(it.Settings)
+  it.Peers = {ip, PeersPort};
+  it.StoreAt = relay;
+  writeSettings(it, "");
+}
+
+void SoakSite::writeSettings(const SoakVm &vm, const std::string &seeds) const {
+  std::ofstream(vm.Settings)
       << fmt::format("[entry_vm]\nid = {}\ndata_centre = dc-1\nip = {}\n"
-                     "callers = {}\nreadiness = {}\npeers = {}:{}\n"
+                     "callers = {}\nreadiness = {}\npeers = {}\nseeds = {}\n"
                      "metrics_port = {}\n[store]\naddress = {}\n"
                      "shortest_membership_ms = 1000\n",
-                     it.Name, ip, it.Callers.str(), it.Readiness.str(), ip,
-                     PeersPort, MetricsPort, relay.str());
+                     vm.Name, vm.Peers.Ip, vm.Callers.str(), vm.Readiness.str(),
+                     vm.Peers.str(), seeds, MetricsPort, vm.StoreAt.str());
+}
+
+void SoakSite::reload(SoakVm &vm) {
+  std::string seeds;
+  for (const SoakVm &it : Vms)
+    seeds += (seeds.empty() ? "" : ",") + it.Peers.str();
+  writeSettings(vm, seeds);
+  vm.Child->signal(SIGHUP);
 }
 
 void SoakSite::startVm(SoakVm &vm) {
--- a/testing/soak/src/soak_site.h
+++ b/testing/soak/src/soak_site.h
@@ -35,6 +35,9 @@
   std::string Name;
   Endpoint Callers;
   Endpoint Readiness;
+  Endpoint Peers;
+  /// Of the relay on its way to the store.
+  Endpoint StoreAt;
   std::string Settings;
   std::string Log;
   std::unique_ptr<wire::StoreStandin> Store;
@@ -78,6 +81,8 @@
   void kill(SoakVm &vm, Millis away);
   void stop(SoakVm &vm, Millis away);
   void pause(SoakVm &vm, Millis span);
+  /// Rewrites its settings, now with other entry VMs' addresses.
+  void reload(SoakVm &vm);
 
   // Backend servers.
   void crash(SoakServer &server, Millis away);
@@ -95,6 +100,7 @@
 
 private:
   void put(const SoakServer &server);
+  void writeSettings(const SoakVm &vm, const std::string &seeds) const;
   void addVm(unsigned n);
   void addServer(unsigned n);
 
--- a/testing/standins/src/program.cpp
+++ b/testing/standins/src/program.cpp
@@ -1,24 +1,12 @@
 // Arguments and files of the stand-ins' programs.
 #include "program.h"
 
-#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <fstream>
 
 namespace citrongap::standins {
 
-std::optional<Endpoint> parseEndpoint(const std::string &text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos)
-    return std::nullopt;
-  const unsigned long port =
-      std::strtoul(text.c_str() + colon + 1, nullptr, 10);
-  if (colon == 0 || port == 0 || port > UINT16_MAX)
-    return std::nullopt;
-  return Endpoint{text.substr(0, colon), static_cast<std::uint16_t>(port)};
-}
-
 std::optional<nlohmann::json> readJsonArray(const std::string &path) {
   std::ifstream file(path);
   auto value = nlohmann::json::parse(file, nullptr, false);
--- a/testing/standins/src/program.h
+++ b/testing/standins/src/program.h
@@ -20,8 +20,6 @@
 inline constexpr int ExitFailure = 1;
 inline constexpr int ExitUsage = 2;
 
-/// Null unless "IP:PORT" with a port from 1 to 65535.
-std::optional<Endpoint> parseEndpoint(const std::string &text);
 /// Null unless the file holds a JSON array.
 std::optional<nlohmann::json> readJsonArray(const std::string &path);
 
