Servers kept for a waiting gang are those that empty first

Cause: the servers kept for a gang were those that would fit it best if all were empty, whatever runs there; in the load test they were taken for a minute and the gang never started (it starts within 4.5 s now, the bound that the longest short task sets).

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -8,6 +8,7 @@
 #include "citrongap/policy/server_health.h"
 #include "citrongap/workload/room_making.h"
 #include "citrongap/workload/server_table.h"
+#include "citrongap/workload/soonest_room.h"
 #include "citrongap/workload/vector_packing.h"
 
 #include <functional>
@@ -95,9 +96,11 @@
   /// (FarFactor - 1); estimates are off by several times.
   Millis MaxNearWait{6000};
   Millis MinNearWait{1000};
-  /// Waiting time from which racks are kept free for a gang.
+  /// Waiting time from which servers are kept free for a gang.
   Millis ReserveAfter{1000};
-  /// Gangs for which racks are kept free at one time.
+  /// Expected ends are worked out again after this; they change by percents.
+  Millis ReleasesUsable{250};
+  /// Gangs for which servers are kept free at one time.
   std::uint32_t MaxReservations = 4;
   /// Without progress for so long, a run is restarted elsewhere; two reports
   /// of a server lie within 2 s each.
@@ -246,6 +249,9 @@
   /// be made for it, as it did of late.
   double arrivingShare(const std::vector<PackingServer> &view,
                        MonoTime now) const;
+  /// When what runs on each server is expected to end; worked out anew each
+  /// `ReleasesUsable`.
+  const Releases &expectedReleases(MonoTime now);
   void watchRuns(MonoTime now);
   bool stalls(const TaskRecord &task, const StepSpec &spec, MonoTime now) const;
   void moveOffDraining(MonoTime now);
@@ -263,6 +269,8 @@
   std::map<ClientAccountId, std::int64_t> UrgentDemand;
   /// Accelerators of priority 0 that were asked for of late, and when.
   std::vector<std::pair<MonoTime, std::int64_t>> UrgentArrivals;
+  Releases ExpectedReleases;
+  MonoTime ReleasesAt;
   std::set<WorkId> Changed;
   /// Collected until the next round.
   std::vector<StopOrder> PendingStops;
--- a/packages/workload/src/planner_load_test.cpp
+++ b/packages/workload/src/planner_load_test.cpp
@@ -59,6 +59,11 @@
     }
   }
 
+  /// From handing a job in to its first start.
+  Millis startedAfter(const WorkId &id) const {
+    return Began.at(id) - Submitted.at(id);
+  }
+
   LoadResult Result;
   std::size_t Urgent = 0;
   /// These fail all they start, after FailTime.
@@ -81,6 +86,7 @@
   }
 
   void begin(const StartOrder &order) {
+    Began.try_emplace(order.Task.Work, Now);
     const bool fails = Faulty.contains(order.Server.Id);
     const Millis length = fails ? FailTime : Work.at(order.Task.Work);
     Runs[order.Task] = {order, Now, Now + length, false, fails};
@@ -129,6 +135,7 @@
   std::map<TaskName, Run> Runs;
   std::map<WorkId, Millis> Work;
   std::map<WorkId, MonoTime> Submitted;
+  std::map<WorkId, MonoTime> Began;
 };
 
 PlannerTerms formerTerms() {
@@ -189,6 +196,36 @@
   BOOST_TEST(now.Completed >= 40U * 8U + 27U + 19U);
 }
 
+BOOST_AUTO_TEST_CASE(large_gang_waits_for_the_servers_that_empty_first) {
+  PlannerTerms terms;
+  // It must not depend on servers that are kept for urgent work.
+  terms.UrgentReserveShare = 0;
+  Simulation room(terms);
+  // The first servers are taken for a minute, the others for two seconds at a
+  // time, by a stream that would take each place that comes free.
+  WorkSpec lasting = Simulation::job("lasting", 8, 8, false, 2);
+  lasting.Steps[0].EstimateMs = 60000;
+  room.add(lasting, Seconds(60));
+  room.run(Millis(200));
+  for (int n = 0; n < 40; ++n) {
+    // Of different lengths, so that servers do not empty by themselves.
+    for (int k = 0; k < 8; ++k)
+      room.add(
+          Simulation::job(fmt::format("short-{}-{}", n, k), 6, 1, false, 2),
+          Millis(1300 + 700 * ((n + 3 * k) % 4)));
+    if (n == 10) {
+      WorkSpec gang = Simulation::job("large", 2, 8, true, 1);
+      gang.Steps[0].OneRack = true;
+      room.add(gang, Millis(2000));
+    }
+    room.run(Millis(500));
+  }
+  // A second before servers are kept, the longest short task, two ticks.
+  const WorkSpec &gang = room.Planner.find(WorkId("large"))->Spec;
+  BOOST_TEST((room.phase("large") == WorkPhase::Completed));
+  BOOST_TEST(room.startedAfter(gang.Id).count() <= 1000 + 3400 + 100);
+}
+
 BOOST_AUTO_TEST_CASE(faulty_servers_fail_no_wide_job_that_has_two_attempts) {
   Simulation room(PlannerTerms{});
   // An eighth of the room.
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -152,6 +152,33 @@
   return std::min(next / static_cast<double>(capacity), Terms.MaxArrivingShare);
 }
 
+const Releases &PodPlanner::expectedReleases(MonoTime now) {
+  if (!ExpectedReleases.empty() && now - ReleasesAt < Terms.ReleasesUsable)
+    return ExpectedReleases;
+  // Below this, progress says little of the whole.
+  constexpr int MinPercent = 3;
+  constexpr Millis StopTime(static_cast<std::int64_t>(StopSeconds * 1000));
+  ReleasesAt = now;
+  ExpectedReleases.clear();
+  for (const auto &[life, tasks] : Placed) {
+    auto &ends = ExpectedReleases[life.Id];
+    for (const TaskName &name : tasks) {
+      const TaskRecord &task = *taskOf(name);
+      const StepSpec &spec = specOf(name);
+      const Millis ran = now - task.PlacedAt;
+      Millis left = std::max(Millis(spec.EstimateMs) - ran, ran / 2);
+      if (task.Percent >= MinPercent)
+        left = ran * (100 - task.Percent) / task.Percent;
+      ends.emplace_back(now + (task.StopWanted ? StopTime : left),
+                        spec.taken());
+    }
+    std::sort(ends.begin(), ends.end(), [](const auto &lhs, const auto &rhs) {
+      return lhs.first < rhs.first;
+    });
+  }
+  return ExpectedReleases;
+}
+
 bool PodPlanner::stalls(const TaskRecord &task, const StepSpec &spec,
                         MonoTime now) const {
   if (!task.Confirmed || task.Percent >= 100)
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -286,12 +286,10 @@
       preempt(unit, view, now);
     } else if (unit.Gang && reservations < Terms.MaxReservations &&
                now - unit.WaitingSince >= Terms.ReserveAfter) {
-      std::vector<PackingServer> later = view;
-      for (PackingServer &it : later)
-        it.Free = it.Capacity;
       const PackingRequest near = requestOf(unit, view, true);
-      if (const auto found = packTasks(later, near)) {
-        takeRoom(view, *found, near.Each);
+      if (const auto found =
+              soonestRoom(view, expectedReleases(now), near, now)) {
+        takeRoom(view, found->Servers, near.Each);
         ++reservations;
       }
     }
