--- a/packages/control/include/citrongap/control/request_front.h
+++ b/packages/control/include/citrongap/control/request_front.h
@@ -126,6 +126,8 @@
     Timer GiveUp;
   };
 
+  /// `reply`, and a log line with what decided the answer.
+  Reply logging(const CallerRequest &request, const Reply &reply);
   void submit(const CallerRequest &request, const QueueRules &queue,
               const ClientAccountId &account, const WorkId &id,
               const Reply &reply);
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -53,10 +53,10 @@
          fresh(ConfigurationTail, Terms.FreshWithin) && !Appender.struggling();
 }
 
-void RequestFront::handle(const CallerRequest &request, const Reply &reply) {
-  const MonoTime came = monoNow();
-  const Reply logged = [this, came, verb = request.Verb, path = request.Path,
-                        reply](const CallerAnswer &answer) {
+RequestFront::Reply RequestFront::logging(const CallerRequest &request,
+                                          const Reply &reply) {
+  return [this, came = monoNow(), verb = request.Verb, path = request.Path,
+          reply](const CallerAnswer &answer) {
     const auto *notRun = std::get_if<AnswerNotRun>(&answer);
     const auto *unknown = std::get_if<AnswerUnknown>(&answer);
     const auto *state = std::get_if<AnswerState>(&answer);
@@ -72,6 +72,10 @@
                   : "");
     reply(answer);
   };
+}
+
+void RequestFront::handle(const CallerRequest &request, const Reply &reply) {
+  const Reply logged = logging(request, reply);
   if (!Configuration || !fresh(ConfigurationTail, Terms.ConfigurationUsable)) {
     logged(AnswerNotRun{"no current configuration", StoreRetry});
     return;
--- a/packages/policy/src/server_health.cpp
+++ b/packages/policy/src/server_health.cpp
@@ -21,7 +21,7 @@
   if (now <= DecayedAt)
     return;
   const auto passed = static_cast<double>((now - DecayedAt).count());
-  const double factor = 
+  const double factor =
       std::exp2(-passed / static_cast<double>(halfLife.count()));
   Failures *= factor;
   Successes *= factor;
@@ -62,8 +62,8 @@
   }
   record.Quarantined = true;
   record.Probing = false;
-  record.ProbeAt =
-      now + Terms.FirstQuarantine * (1U << std::min(record.Strikes, MaxDoublings));
+  record.ProbeAt = now + Terms.FirstQuarantine *
+                             (1U << std::min(record.Strikes, MaxDoublings));
   ++record.Strikes;
 }
 
@@ -154,9 +154,8 @@
 
 bool ServerHealth::proven(const BackendServerId &server, MonoTime now) const {
   const auto it = Records.find(server);
-  return it != Records.end() && it->second.WorkedAt &&
-         !it->second.FailedLast && !it->second.Quarantined &&
-         now < *it->second.WorkedAt + Terms.HalfLife;
+  return it != Records.end() && it->second.WorkedAt && !it->second.FailedLast &&
+         !it->second.Quarantined && now < *it->second.WorkedAt + Terms.HalfLife;
 }
 
 bool ServerHealth::probeDue(const BackendServerId &server, MonoTime now) const {
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -113,6 +113,7 @@
   for (const PackingServer &it : view)
     freeInRack[it.Rack] += it.Free.GpuCount;
   std::vector<PackingServer *> order;
+  order.reserve(view.size());
   for (PackingServer &it : view)
     order.push_back(&it);
   const auto taken = [](const PackingServer &it) {
--- a/testing/soak/src/soak_site.cpp
+++ b/testing/soak/src/soak_site.cpp
@@ -221,9 +221,8 @@
     const bool running = it.Child->running();
     if (!running && !it.EndedAt)
       it.EndedAt = now;
-    if (it.StartAt && now >= *it.StartAt)
-      startVm(it);
-    else if (!running && it.StoppedAt)
+    const bool due = it.StartAt && now >= *it.StartAt;
+    if (due || (!running && it.StoppedAt))
       startVm(it);
   }
   for (SoakServer &it : Servers) {
