--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # make test   every test, then one line with the counts
 BUILD ?= build
 
-.PHONY: build demo test lint bench capacity soak format clean
+.PHONY: build demo test lint bench capacity soak soak-entry format clean
 build:
 	@.ci/install
 	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
@@ -34,3 +34,7 @@
 # make soak   200 seeded fault schedules against real processes
 soak: build
 	@$(BUILD)/testing/scenario/citrongap_soak --build $(BUILD) --last 200 --at-once 6 testing/scenario/scenarios/soak.scenario
+
+# make soak-entry  50 seeds of real entry VMs on the users' platform's protocol
+soak-entry: build
+	@seq $${FIRST:-1000} $${LAST:-1049} | xargs -P 8 -I{} sh -c '$(BUILD)/testing/soak/citrongap_entry_soak --build $(BUILD) --seed {} --faults 30 > /tmp/entry-soak-{}.log 2>&1 || echo "failed: /tmp/entry-soak-{}.log"'
