--- a/testing/soak/src/soak_callers.cpp
+++ b/testing/soak/src/soak_callers.cpp
@@ -23,6 +23,8 @@
 /// A connection that ends within this of its process may have lost a request
 /// that was never read.
 constexpr Millis EndRace{60};
+/// Until the end of a process is noticed; twice the interval of looks.
+constexpr Millis NoticeEndWithin{100};
 
 } // namespace
 
@@ -180,11 +182,15 @@
       std::find_if(Site.vms().begin(), Site.vms().end(),
                    [&](const SoakVm &it) { return it.Name == call.Vm; });
   const MonoTime now = monoNow();
-  Site.tend();
-  const bool racesEnd = vm->EndedAt && call.SentAt + EndRace >= *vm->EndedAt;
-  if (vm->StoppedAt && now > vm->DisturbedUntil && !racesEnd)
+  if (!vm->StoppedAt || now <= vm->DisturbedUntil)
+    return;
+  // A process that is ending has closed its connections before its end shows.
+  later(NoticeEndWithin, [this, vm, call, now] {
+    if (vm->EndedAt && call.SentAt + EndRace >= *vm->EndedAt - NoticeEndWithin)
+      return;
     Judging.add(
         now, fmt::format("cut: {} ended a request by a planned stop", call.Vm));
+  });
 }
 
 void Callers::probe() {
--- a/testing/soak/src/soak_site.cpp
+++ b/testing/soak/src/soak_site.cpp
@@ -141,7 +141,7 @@
       std::vector<std::string>{Shape.Program, "--settings", vm.Settings},
       vm.Log);
   vm.StoppedAt.reset();
-  vm.EndedAt.reset();
+  vm.EndNoticed = false;
   vm.StartAt.reset();
 }
 
@@ -219,8 +219,10 @@
   const MonoTime now = monoNow();
   for (SoakVm &it : Vms) {
     const bool running = it.Child->running();
-    if (!running && !it.EndedAt)
+    if (!running && !it.EndNoticed) {
+      it.EndNoticed = true;
       it.EndedAt = now;
+    }
     const bool due = it.StartAt && now >= *it.StartAt;
     if (due || (!running && it.StoppedAt))
       startVm(it);
--- a/testing/soak/src/soak_site.h
+++ b/testing/soak/src/soak_site.h
@@ -45,7 +45,9 @@
   std::unique_ptr<testing::Process> Child;
   /// A planned stop began, and nothing else befell the process since its start.
   std::optional<MonoTime> StoppedAt;
+  /// When the end of its last process was noticed.
   std::optional<MonoTime> EndedAt;
+  bool EndNoticed = false;
   /// It was killed or paused, or its way to the store failed, until then.
   MonoTime DisturbedUntil;
   bool Ready = false;
