--- a/testing/soak/src/soak_callers.cpp
+++ b/testing/soak/src/soak_callers.cpp
@@ -186,7 +186,11 @@
     return;
   // A process that is ending has closed its connections before its end shows.
   later(NoticeEndWithin, [this, vm, call, now] {
-    if (vm->EndedAt && call.SentAt + EndRace >= *vm->EndedAt - NoticeEndWithin)
+    // Not the end of an earlier process.
+    const bool racesEnd =
+        vm->EndedAt && *vm->EndedAt >= call.SentAt &&
+        *vm->EndedAt <= call.SentAt + EndRace + NoticeEndWithin;
+    if (racesEnd)
       return;
     Judging.add(
         now, fmt::format("cut: {} ended a request by a planned stop", call.Vm));
