--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -100,13 +100,13 @@
   Millis MaxNearWait{6000};
   Millis MinNearWait{1000};
   /// Waiting time from which servers are kept free for a gang.
-  Millis ReserveAfter{1000};
+  Millis ReserveAfter{300};
   /// A stop takes up to this long; the platform's bound.
   Millis StopWithin{900};
   /// Expected ends are worked out again after this; they change by percents.
   Millis ReleasesUsable{250};
   /// Gangs for which servers are kept free at one time.
-  std::uint32_t MaxReservations = 4;
+  std::uint32_t MaxReservations = 16;
   /// Without progress for so long, a run is restarted elsewhere; two reports
   /// of a server lie within 2 s each.
   Millis StalledAfter{5000};
--- a/packages/workload/src/planner_load_test.cpp
+++ b/packages/workload/src/planner_load_test.cpp
@@ -226,6 +226,33 @@
   BOOST_TEST(room.startedAfter(gang.Id).count() <= 1000 + 3400 + 100);
 }
 
+BOOST_AUTO_TEST_CASE(many_gangs_at_once_wait_no_longer_than_what_runs) {
+  PlannerTerms terms;
+  // They must not depend on servers that are kept for urgent work.
+  terms.UrgentReserveShare = 0;
+  Simulation room(terms);
+  constexpr int Gangs = 10;
+  const auto name = [](int n) { return "gang-" + std::to_string(n); };
+  for (int n = 0; n < 40; ++n) {
+    // More than the room takes, of different lengths, so that servers do not
+    // empty by themselves.
+    for (int k = 0; k < 16; ++k)
+      room.add(
+          Simulation::job(fmt::format("short-{}-{}", n, k), 8, 1, false, 2),
+          Millis(1300 + 700 * ((n + 3 * k) % 4)));
+    for (int g = 0; g < Gangs && n == 10; ++g) {
+      WorkSpec gang = Simulation::job(name(g), 2, 8, true, 1);
+      gang.Steps[0].OneRack = true;
+      room.add(gang, Millis(8500));
+    }
+    room.run(Millis(500));
+  }
+  // Five sixths of the room hold all ten: the time before servers are kept, the
+  // longest short task, two ticks.
+  for (int g = 0; g < Gangs; ++g)
+    BOOST_TEST(room.startedAfter(WorkId(name(g))).count() <= 300 + 3400 + 100);
+}
+
 BOOST_AUTO_TEST_CASE(faulty_servers_fail_no_wide_job_that_has_two_attempts) {
   Simulation room(PlannerTerms{});
   // An eighth of the room.
