A gang waits for one rack as long as a far run would cost it

Cause: after at most 6 s, and by estimates that are off by several times, a gang that wants one rack started over several: there it ran three times as long and held its servers three times as long.

Now it waits up to the break-even of the run time that its queue shows, at most 30 s.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -95,9 +95,10 @@
   /// it uses servers kept for priority 0.
   Millis MinReserveWait{2000};
   Millis MaxReserveWait{6000};
-  /// Longest wait for room near the data. Break-even is the estimate times
-  /// (FarFactor - 1); estimates are off by several times.
-  Millis MaxNearWait{6000};
+  /// Longest wait for room near the data, whatever the break-even, which is the
+  /// usual run time times (FarFactor - 1): time that a far run would not make up
+  /// for, and that it would take from others.
+  Millis MaxNearWait{30000};
   Millis MinNearWait{1000};
   /// Waiting time from which servers are kept free for a gang.
   Millis ReserveAfter{300};
--- a/packages/workload/src/pod_planner_test.cpp
+++ b/packages/workload/src/pod_planner_test.cpp
@@ -189,6 +189,29 @@
   BOOST_TEST(plan().Starts.at(0).Task.Work.str() == "older");
 }
 
+BOOST_AUTO_TEST_CASE(gang_waits_for_one_rack_as_long_as_a_far_run_would_cost) {
+  addServers(4);
+  // One server of each rack is taken; a far run takes three times as long.
+  std::vector<StartOrder> others;
+  for (int n = 0; n < 4; ++n) {
+    WorkSpec other = job("other-" + std::to_string(n), 1, 8, false);
+    other.Queue = QueueId("others");
+    submit(other);
+    others.push_back(plan().Starts.at(0));
+  }
+  for (const int n : {1, 3})
+    end(others[static_cast<std::size_t>(n)], RunEnding::Done);
+  WorkSpec gang = job("gang", 2, 8, true);
+  gang.Steps[0].OneRack = true;
+  gang.Steps[0].EstimateMs = 8500;
+  submit(gang);
+  BOOST_TEST(plan().Starts.empty());
+  BOOST_TEST(planAfter(Millis(2 * 8500 - 100)).Starts.empty());
+  const PlannedRound round = planAfter(Millis(200));
+  BOOST_REQUIRE(round.Starts.size() == 2U);
+  BOOST_TEST(!round.Starts[0].Near);
+}
+
 BOOST_AUTO_TEST_CASE(guarantee_is_kept_in_order_of_acceptance) {
   addServers(1);
   Planner.setGuarantees({{ClientAccountId("quetta"), 16}});
