Best fit over cores, memory and accelerators together

Cause: a task went to the server with the fewest free accelerators, then cores. On Pwani memory is what lacks: a relief-render task takes 140 of 262 GB, so that one server holds one. Small tasks broke the memory up while 40 of 100 accelerators stood idle beside up to ten waiting gangs.

--- a/packages/workload/include/citrongap/workload/vector_packing.h
+++ b/packages/workload/include/citrongap/workload/vector_packing.h
@@ -1,6 +1,6 @@
 // Finds backend servers for the tasks of one step, over cpu, memory and
-// accelerators. Best fit by accelerators, then cores; a gang stays in one rack
-// when it can.
+// accelerators. Best fit by what is left of all three, as any of them may be
+// what later work lacks; a gang stays in one rack when it can.
 #ifndef CITRONGAP_WORKLOAD_VECTOR_PACKING_H
 #define CITRONGAP_WORKLOAD_VECTOR_PACKING_H
 
--- a/packages/workload/src/vector_packing.cpp
+++ b/packages/workload/src/vector_packing.cpp
@@ -16,11 +16,21 @@
   return server.Suspect || request.Avoid.contains(server.Id);
 }
 
-/// Lower is better: the tightest server by accelerators, then by cores.
+/// Shares of the server that a task would leave free, all resources together.
+double leftOf(const PackingServer &server, const Resources &each) {
+  const auto share = [](std::int64_t left, std::int64_t all) {
+    return all > 0 ? static_cast<double>(left) / static_cast<double>(all) : 0.0;
+  };
+  const Resources &free = server.Free;
+  const Resources &all = server.Capacity;
+  return share(free.GpuCount - each.GpuCount, all.GpuCount) +
+         share(free.CpuMillis - each.CpuMillis, all.CpuMillis) +
+         share(free.MemoryMb - each.MemoryMb, all.MemoryMb);
+}
+
+/// Lower is better: the tightest server.
 auto fitOf(const PackingServer &server, const PackingRequest &request) {
-  return std::tuple(usedLast(server, request),
-                    server.Free.GpuCount - request.Each.GpuCount,
-                    server.Free.CpuMillis - request.Each.CpuMillis);
+  return std::tuple(usedLast(server, request), leftOf(server, request.Each));
 }
 
 /// Places tasks one by one on the best of `among`; undoes all on failure.
--- a/packages/workload/src/vector_packing_test.cpp
+++ b/packages/workload/src/vector_packing_test.cpp
@@ -40,6 +40,19 @@
   BOOST_TEST(!packTasks(servers, request({52000, 210000, 1}, 3)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(memory_for_a_large_task_is_not_broken_up) {
+  const Resources large{52000, 280000, 2};
+  const Resources small{11000, 76000, 1};
+  // One server has fewer accelerators left, the other less memory.
+  std::vector<PackingServer> servers{
+      server("memory", "r1", {120000, 500000, 5}),
+      server("accelerators", "r1", {76000, 232000, 6})};
+  const auto at = packTasks(servers, request(small, 3));
+  BOOST_REQUIRE(at);
+  takeRoom(servers, *at, small);
+  BOOST_TEST(packTasks(servers, request(large, 1)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(gang_of_one_rack_is_not_spread_over_two) {
   std::vector<PackingServer> servers{server("a", "r1"), server("b", "r2")};
   PackingRequest gang = request({52000, 210000, 8}, 2);
