A refused submission that another front still holds never starts

When the key was refused anew, the owner forgot which submissions it had refused before, so that the next poll of that front (each 5 s, all its jobs at once) started work whose callers had all been told "not run". And a front that asked while the refusal was being recorded or told was not among those told.

Now a new submission of a key keeps the names of the refused ones, and late fronts are told in a round of their own.

Ruled out: the appender (a record is "never sent" only when each append was refused without effect), the ledger (a refusal stands before a late acceptance), owed jobs (their refusal is in the log before the holder reads it).

Both tests failed before (1 start instead of 0; front B not told).

--- a/packages/daemon/include/citrongap/daemon/pod_owner.h
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -82,6 +82,10 @@
     std::set<std::string> Submissions;
     /// Set when ended.
     std::optional<Outcome> Ended;
+    /// Fronts are being told of the outcome.
+    bool Telling = false;
+    /// Fronts came while others were told, and need a round of their own.
+    bool LateFronts = false;
     std::unique_ptr<GangRun> Run;
     std::uint32_t Attempts = 0;
     /// Of `EndedAttempts`, those of this job.
@@ -128,8 +132,12 @@
   OwnedJob &knownJob(const JobRequest &job);
   /// Null when the job is not known, runs or has ended.
   OwnedJob *openJob(const JobId &id);
-  /// A new submission of a key that was refused starts afresh.
-  void forgetRefusal(const JobRequest &job);
+  /// `front` has the job, too, and is told how it ends.
+  void addFront(const JobId &id, const EntryVmId &front);
+  /// A new submission of a key that was refused starts afresh. Gives the older
+  /// submissions: a front may still hold one whose caller was refused since,
+  /// and it must not start.
+  std::set<std::string> forgetRefusal(const JobRequest &job);
   void answerSubmissions(const JobId &id);
   /// Runs it here or has another pod run it.
   void place(const JobId &id);
--- a/packages/daemon/src/pod_owner_ends.cpp
+++ b/packages/daemon/src/pod_owner_ends.cpp
@@ -168,6 +168,7 @@
   // after another front's caller was told.
   const bool twoRounds = std::holds_alternative<NotRun>(*it->second.Ended) &&
                          it->second.Fronts.size() > 1;
+  it->second.Telling = true;
   Untold[id] = it->second.Fronts;
   if (Untold[id].empty()) {
     onAllTold(id, true);
@@ -202,7 +203,7 @@
   const auto it = Jobs.find(id);
   if (it == Jobs.end())
     return;
-  if (!final) {
+  if (std::exchange(it->second.LateFronts, false) || !final) {
     Untold[id] = it->second.Fronts;
     for (const auto &front : std::set<EntryVmId>(it->second.Fronts))
       tell(id, front, true);
--- a/packages/daemon/src/pod_owner_jobs.cpp
+++ b/packages/daemon/src/pod_owner_jobs.cpp
@@ -30,12 +30,13 @@
 
 void PodOwner::submit(const JobRequest &job, const JobOrigin &origin,
                       ViewCallback callback) {
-  forgetRefusal(job);
+  std::set<std::string> older = forgetRefusal(job);
   const bool known = Jobs.contains(job.Id);
   OwnedJob &owned = knownJob(job);
+  owned.Submissions.merge(older);
   owned.Submissions.insert(job.Submission);
-  if (origin.Front && !owned.Ended)
-    owned.Fronts.insert(*origin.Front);
+  if (origin.Front)
+    addFront(job.Id, *origin.Front);
   owned.Fresh = owned.Fresh && !origin.Again;
   if (!known) {
     owned.Delegated = origin.Delegated;
@@ -52,14 +53,32 @@
   it->second.SubmitCallbacks.push_back(std::move(callback));
 }
 
-void PodOwner::forgetRefusal(const JobRequest &job) {
+void PodOwner::addFront(const JobId &id, const EntryVmId &front) {
+  OwnedJob &owned = Jobs.at(id);
+  const auto untold = Untold.find(id);
+  if (owned.Ended && untold == Untold.end())
+    return;
+  // A front that asks while others are being told must be told as well: it
+  // would submit the job again to a successor that knows of no refusal.
+  const bool late = owned.Fronts.insert(front).second && owned.Telling;
+  if (!late)
+    return;
+  owned.LateFronts = true;
+  untold->second.insert(front);
+  tell(id, front, false);
+}
+
+std::set<std::string> PodOwner::forgetRefusal(const JobRequest &job) {
   const auto it = Jobs.find(job.Id);
   if (it == Jobs.end() || !it->second.Ended || Untold.contains(job.Id))
-    return;
+    return {};
   const bool anew = mayTryAgain(*it->second.Ended) &&
                     !it->second.Submissions.contains(job.Submission);
-  if (anew)
-    Jobs.erase(it);
+  if (!anew)
+    return {};
+  std::set<std::string> older = std::move(it->second.Submissions);
+  Jobs.erase(it);
+  return older;
 }
 
 void PodOwner::answerSubmissions(const JobId &id) {
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -2,6 +2,7 @@
 #include "citrongap/daemon/pod_owner.h"
 #include "fake_backends.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -50,7 +51,10 @@
   }
   void ended(const JobRequest &, const std::optional<std::string> &,
              const Outcome &, std::function<void(Recorded)> callback) override {
-    callback(Log);
+    if (HoldEnds)
+      HeldEnds.push_back(std::move(callback));
+    else
+      callback(Log);
   }
   std::optional<Outcome> outcomeOf(const JobId &) const override {
     return std::nullopt;
@@ -62,6 +66,9 @@
   Recorded Log = Recorded::Yes;
   unsigned Releases = 0;
   std::vector<JobRequest> Owed;
+  /// The log is silent: records of ends get no answer for now.
+  bool HoldEnds = false;
+  std::vector<std::function<void(Recorded)>> HeldEnds;
 };
 
 /// A broker of a single pod, or one that sends every job elsewhere.
@@ -403,6 +410,51 @@
   BOOST_TEST(site.Servers.releases(job.Id) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_older_submission_never_starts_after_a_newer_refusal) {
+  Fixture site;
+  const ClaimAnswer granted = site.Claims.Next;
+  site.Claims.Next = ClaimDenied{NotRun{"the log is away", 1000}};
+  const auto submission = [](const char *name) {
+    auto job = Fixture::job("k", 1, false);
+    job.Submission = name;
+    return job;
+  };
+  // Front B holds the second one, whose caller gave up waiting and asked A.
+  site.Owner->submit(submission("first"), {FrontA, false, false}, ignore);
+  site.Owner->submit(submission("second"), {FrontB, false, false}, ignore);
+  const JobId id = submission("third").Id;
+  BOOST_REQUIRE(site.until([&] { return site.Ended.contains(id); }));
+  site.Ended.clear();
+  site.Owner->submit(submission("third"), {FrontA, false, false}, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.Ended.contains(id); }));
+  site.Claims.Next = granted;
+  site.Owner->submit(submission("second"), {FrontB, false, true}, ignore);
+  site.Loop.runUntil(monoNow() + Millis(300));
+  BOOST_TEST(site.Servers.releases(id) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_front_that_asks_while_a_refusal_is_recorded_is_told) {
+  Fixture site;
+  site.Claims.Next = ClaimDenied{NotRun{"the log is slow", 1000}};
+  site.Claims.HoldEnds = true;
+  auto job = Fixture::job("k", 1, false);
+  job.Submission = "first";
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
+  BOOST_REQUIRE(site.until([&] { return !site.Claims.HeldEnds.empty(); }));
+  job.Submission = "second";
+  site.Owner->submit(job, {FrontB, false, false}, ignore);
+  for (const auto &callback : std::exchange(site.Claims.HeldEnds, {}))
+    callback(Recorded::Yes);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  const auto toldLast = [&](const EntryVmId &front) {
+    return std::any_of(
+        site.Messages.begin(), site.Messages.end(),
+        [&](const Told &it) { return it.Front == front && it.Final; });
+  };
+  BOOST_TEST(toldLast(FrontA));
+  BOOST_TEST(toldLast(FrontB));
+}
+
 BOOST_AUTO_TEST_CASE(
     a_handed_over_job_is_not_called_not_run_before_the_log_agrees) {
   Fixture site;
