Settings: a list may be longer than a line of inih

Such lists are now handed to inih as one key with more lines; places of findings stay those of the file. Other long lines are refused as before.

Ruled out: inih's larger buffers (compiled into the library).

The test failed before.

--- a/packages/base/include/citrongap/base/ini_document.h
+++ b/packages/base/include/citrongap/base/ini_document.h
@@ -50,6 +50,9 @@
   /// Used by the parser's callback.
   void insert(const std::string &section, const std::string &key,
               const std::string &value, Findings &findings);
+  /// More of the value that was inserted last.
+  void append(const std::string &section, const std::string &key,
+              const std::string &part);
 
 private:
   using Key = std::pair<std::string, std::string>;
--- a/packages/base/src/ini_document.cpp
+++ b/packages/base/src/ini_document.cpp
@@ -17,16 +17,60 @@
   Findings &Found;
 };
 
+/// inih has fixed buffers, so that longer lines and names are reported here.
+constexpr std::size_t MaxLineBytes = 199;
+constexpr std::size_t MaxSectionBytes = 49;
+/// Starts the parts of a list that was too long for one line; a file that has
+/// this control character is refused.
+constexpr char PartMark = '\x01';
+
 int onValue(void *user, const char *section, const char *key,
             const char *value) {
   auto &target = *static_cast<ParseTarget *>(user);
-  target.Document.insert(section, key, value, target.Found);
+  if (value[0] == PartMark)
+    target.Document.append(section, key, value + 1);
+  else
+    target.Document.insert(section, key, value, target.Found);
   return 1;
 }
 
-/// inih has fixed buffers, so that longer lines and names are reported here.
-constexpr std::size_t MaxLineBytes = 199;
-constexpr std::size_t MaxSectionBytes = 49;
+/// Where to break a list that is too long for one line: behind the last comma
+/// that fits; nothing for other lines.
+std::size_t breakOf(std::string_view line) {
+  const auto begin = line.find_first_not_of(" \t");
+  const bool isKey = begin != std::string_view::npos && line[begin] != '#' &&
+                     line[begin] != ';' && line[begin] != '[';
+  const std::size_t comma = line.substr(0, MaxLineBytes).rfind(',');
+  if (line.size() <= MaxLineBytes || !isKey || comma == std::string_view::npos)
+    return 0;
+  const auto equals = line.find('=');
+  return line[begin] == PartMark || equals < comma ? comma + 1 : 0;
+}
+
+/// Lists that are too long for one line of inih, as one key with more lines.
+struct WrappedText {
+  std::string Text;
+  /// Line of the file for each line of the text, from 1.
+  std::vector<std::size_t> LineOf;
+};
+
+WrappedText wrapLists(std::string_view text) {
+  WrappedText out;
+  std::size_t line = 1;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find('\n'), text.size());
+    std::string rest(text.substr(0, end));
+    for (std::size_t at = breakOf(rest); at > 0; at = breakOf(rest)) {
+      out.Text += rest.substr(0, at) + "\n";
+      out.LineOf.push_back(line);
+      rest = std::string(" ") + PartMark + rest.substr(at);
+    }
+    out.Text += rest + "\n";
+    out.LineOf.push_back(line++);
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  return out;
+}
 
 /// Bytes of the UTF-8 sequence that starts the text; 0 when it is broken.
 std::size_t sequenceLength(std::string_view text) {
@@ -71,7 +115,7 @@
 
 void reportLineFaults(const std::string &place, std::string_view line,
                       Findings &findings) {
-  if (line.size() > MaxLineBytes)
+  if (line.size() > MaxLineBytes && breakOf(line) == 0)
     findings.add(place, fmt::format("is longer than {} bytes", MaxLineBytes));
   if (sectionBytes(line) > MaxSectionBytes)
     findings.add(place, fmt::format("has a section name longer than {} bytes",
@@ -84,6 +128,8 @@
                      Findings &findings) {
   if (text.find('\0') != std::string_view::npos)
     findings.add(name, "contains a NUL byte");
+  if (text.find(PartMark) != std::string_view::npos)
+    findings.add(name, "contains a control character");
   std::size_t line = 1;
   std::size_t begin = 0;
   while (begin < text.size()) {
@@ -123,11 +169,13 @@
   if (findings.items().size() != before)
     return doc;
   ParseTarget target{doc, findings};
-  const std::string copy(text);
-  const int line = ini_parse_string(copy.c_str(), onValue, &target);
+  const WrappedText wrapped = wrapLists(text);
+  const int line = ini_parse_string(wrapped.Text.c_str(), onValue, &target);
   if (line > 0)
-    findings.add(fmt::format("{} line {}", name, line),
-                 "is neither a section, a key with a value nor a comment");
+    findings.add(
+        fmt::format("{} line {}", name,
+                    wrapped.LineOf.at(static_cast<std::size_t>(line) - 1)),
+        "is neither a section, a key with a value nor a comment");
   return doc;
 }
 
@@ -140,6 +188,11 @@
     findings.add(place(section, key), "stands twice");
 }
 
+void IniDocument::append(const std::string &section, const std::string &key,
+                         const std::string &part) {
+  Values[Key(section, key)] += part;
+}
+
 bool IniDocument::has(const std::string &section,
                       const std::string &key) const {
   return Values.contains(Key(section, key));
--- a/packages/base/src/ini_document_test.cpp
+++ b/packages/base/src/ini_document_test.cpp
@@ -69,3 +69,17 @@
   BOOST_TEST(findings.text() ==
              "vm.ini line 2: has a section name longer than 49 bytes\n");
 }
+
+BOOST_AUTO_TEST_CASE(list_of_many_addresses_is_read_whole) {
+  std::string list;
+  for (int n = 0; n < 150; ++n)
+    list += (n ? ", 10.1.0." : "10.1.0.") + std::to_string(n) + ":8526";
+  Findings findings;
+  IniDocument doc = IniDocument::fromText(
+      "vm.ini", "[entry_vm]\nseeds = " + list + "\nid = a\nbroken\n", findings);
+  BOOST_TEST(doc.text("entry_vm", "seeds", findings) == list);
+  BOOST_TEST(doc.text("entry_vm", "id", findings) == "a");
+  // Places are those of the file.
+  BOOST_REQUIRE(findings.items().size() == 1U);
+  BOOST_TEST(findings.text().find("vm.ini line 4") != std::string::npos);
+}
