An unanswered start does not put off the lapse of its server

Each try counted as an order that asks for a lease, also when no connection came about, so that the lapse moved on for ever, and all that was placed there (here gangs of several jobs) was neither given up nor started elsewhere.

Now nothing is ordered from a server that two polls did not reach; its leases lapse after the last order that was sent, and repeated starts go on if it comes back before.

Ruled out: the planner's longer wait for one rack (the task was placed, not waiting); the store, whose writes were done late at that time.

The test failed before (no start on the other server after 1 s).

--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -391,6 +391,20 @@
   BOOST_TEST(Fleet.started() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(
+    unanswered_start_does_not_put_the_lapse_of_its_server_off) {
+  // The start gets no answer, so that it is repeated, and then the server is
+  // gone for good; its entry in the list stays.
+  Fleet.at("i-1").HoldStarts = true;
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(100));
+  Fleet.at("i-1").Unreached = true;
+  Store.put(Servers, {"i-2", "ready"});
+  // Noticed after two polls, lapsed 0.37 s after the last order that was sent.
+  runFor(Millis(1000));
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(old_entry_of_a_machine_does_not_displace_its_new_life) {
   Store.put(Servers, {"i-1", std::nullopt});
   Store.put(Servers, {"i-3", "ready 1 m-1"});
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -93,8 +93,15 @@
   if (it.InFlight || it.AnsweredAt || it.StopWanted ||
       !Planner.wanted(task, it.Order.Run, Life))
     return;
-  it.InFlight = true;
   const MonoTime now = monoNow();
+  // Each order asks for a lease: repeated to a server that is away, it would
+  // keep all that runs there from ever being given up.
+  if (Failures >= Terms.UnreachableAfter) {
+    it.Retry =
+        Loop.at(now + Terms.RetryAfter, [this, task] { sendStart(task); });
+    return;
+  }
+  it.InFlight = true;
   LeaseEndsBy = std::max(LeaseEndsBy, Terms.lapseOf(now));
   Fleet.start(At, it.Order, leaseUntil(), Token, now + Terms.AnswerWithin,
               [this, task, run = it.Order.Run,
