--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -96,8 +96,8 @@
   Millis MinReserveWait{2000};
   Millis MaxReserveWait{6000};
   /// Longest wait for room near the data, whatever the break-even, which is the
-  /// usual run time times (FarFactor - 1): time that a far run would not make up
-  /// for, and that it would take from others.
+  /// usual run time times (FarFactor - 1): time that a far run would not make
+  /// up for, and that it would take from others.
   Millis MaxNearWait{30000};
   Millis MinNearWait{1000};
   /// Waiting time from which servers are kept free for a gang.
