--- a/packages/store/include/citrongap/store/topic_tail.h
+++ b/packages/store/include/citrongap/store/topic_tail.h
@@ -71,14 +71,14 @@
   OnRecord Record;
   std::function<void()> Batch;
   LogOffset Next;
-  /// Where reading goes on once all pages of the newest were seen.
-  LogOffset LoadedTo;
+  /// Where reading goes on once all pages of the newest were seen; the end that
+  /// the first page told.
+  std::optional<LogOffset> LoadedTo;
   bool Loaded = false;
   /// The newest are being read, or will be.
   bool Loading = false;
   bool Running = false;
   bool Working = true;
-  bool FirstPage = true;
   bool Reading = false;
   std::optional<MonoTime> FreshAt;
   Timer Again;
--- a/packages/store/src/topic_tail.cpp
+++ b/packages/store/src/topic_tail.cpp
@@ -19,7 +19,7 @@
 
 void TopicTail::load() {
   Loading = true;
-  FirstPage = true;
+  LoadedTo.reset();
   loadPage("");
 }
 
@@ -69,13 +69,12 @@
     return;
   }
   const auto &page = std::get<NewestPage>(result);
-  if (FirstPage) {
+  if (!LoadedTo) {
     if (OnReload)
       OnReload();
     // Pages are no snapshot: records after the first page's end are read
     // again in order.
     LoadedTo = page.End;
-    FirstPage = false;
   }
   for (const KeyedRecord &it : page.Records)
     Record(it);
@@ -83,7 +82,7 @@
     loadPage(page.Records.back().Key);
     return;
   }
-  Next = LoadedTo;
+  Next = *LoadedTo;
   Loaded = true;
   Loading = false;
   readOn();
--- a/packages/workload/src/pod_planner_test.cpp
+++ b/packages/workload/src/pod_planner_test.cpp
@@ -6,7 +6,25 @@
 
 using namespace citrongap;
 
-BOOST_FIXTURE_TEST_SUITE(pod_planner, PlannerFixture)
+namespace {
+
+struct Fixture : PlannerFixture {
+  /// Two jobs of one server, the one that was accepted `earlier` read last.
+  void submitNewerAndOlder(std::uint32_t priority, Millis earlier) {
+    WorkSpec newer = job("newer", 1, 8, false, priority);
+    newer.Objective = {1.5, 250};
+    newer.AcceptedAtMs = WallMs;
+    WorkSpec older = newer;
+    older.Id = WorkId("older");
+    older.AcceptedAtMs -= earlier.count();
+    submit(newer);
+    submit(older);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(pod_planner, Fixture)
 
 BOOST_AUTO_TEST_CASE(gang_starts_whole_or_not_at_all) {
   addServers(2);
@@ -178,14 +196,7 @@
     WallMs += 10000;
     end(round.Starts.at(0), RunEnding::Done);
   }
-  WorkSpec older = job("older", 1, 8, false);
-  older.Objective = {1.5, 250};
-  older.AcceptedAtMs = WallMs - 3000;
-  WorkSpec newer = older;
-  newer.Id = WorkId("newer");
-  newer.AcceptedAtMs = WallMs;
-  submit(newer);
-  submit(older);
+  submitNewerAndOlder(1, Seconds(3));
   BOOST_TEST(plan().Starts.at(0).Task.Work.str() == "older");
 }
 
@@ -215,14 +226,7 @@
 BOOST_AUTO_TEST_CASE(guarantee_is_kept_in_order_of_acceptance) {
   addServers(1);
   Planner.setGuarantees({{ClientAccountId("quetta"), 16}});
-  WorkSpec older = job("older", 1, 8, false, 0);
-  older.Objective = {1.5, 250};
-  older.AcceptedAtMs = WallMs - 60000;
-  WorkSpec newer = older;
-  newer.Id = WorkId("newer");
-  newer.AcceptedAtMs = WallMs;
-  submit(newer);
-  submit(older);
+  submitNewerAndOlder(0, Seconds(60));
   BOOST_TEST(plan().Starts.at(0).Task.Work.str() == "older");
 }
 
