Take a pod over again when the log names another holder

Cause: of two entry VMs that take a pod over at the same moment, the one that lets go at once may be the one whose record stands last.

Ruled out: a refusal of the same term (the earlier record stands then, and the loser already asks again after 500 ms).

Change: a claim that is refused while the log names another holder makes the owner ask for the pod again after 500 ms; the job waits meanwhile and is not refused. An owner that has really been replaced is told so by membership.

Before: two tests on a log in memory fail.

--- a/packages/daemon/include/citrongap/daemon/ledger_claims.h
+++ b/packages/daemon/include/citrongap/daemon/ledger_claims.h
@@ -34,6 +34,10 @@
 private:
   void write(JobEnded record, std::function<void(Recorded)> callback);
   void askForPod();
+  /// True if the log no longer names this entry VM as the pod's holder. The pod
+  /// is then taken over again: another entry VM may have taken it over and let
+  /// go of it since. One that keeps it ends this ownership through membership.
+  bool retakePodIfLost();
   void claimAnew(const JobRequest &job, ClaimCircumstances circumstances,
                  const std::function<void(const ClaimAnswer &)> &callback);
   void onLost(const JobRequest &job, const JobEntry &by, bool fenced,
--- a/packages/daemon/src/ledger_claims.cpp
+++ b/packages/daemon/src/ledger_claims.cpp
@@ -112,7 +112,9 @@
                   onLost(job, it.By, circumstances.Fenced, callback);
                 },
                 [&](const ClaimNotMade &it) {
-                  if (fresh)
+                  if (retakePodIfLost())
+                    callback(ClaimDeferred{it.Reason});
+                  else if (fresh)
                     callback(ClaimDenied{NotRun{it.Reason, RetryWhenAway}});
                   else
                     callback(ClaimDeferred{it.Reason});
@@ -124,6 +126,17 @@
       });
 }
 
+bool LedgerClaims::retakePodIfLost() {
+  if (Held && Writer.ledger().holderOf(Pod) == Held)
+    return false;
+  if (Held) {
+    LogLine("the log names another holder of pod {}", Pod.str());
+    Held.reset();
+    Retry = Loop.at(monoNow() + TakeOverAgainAfter, [this] { askForPod(); });
+  }
+  return true;
+}
+
 void LedgerClaims::onLost(
     const JobRequest &job, const JobEntry &by, bool fenced,
     const std::function<void(const ClaimAnswer &)> &callback) {
--- a/packages/daemon/src/ledger_claims_test.cpp
+++ b/packages/daemon/src/ledger_claims_test.cpp
@@ -58,6 +58,17 @@
     return it;
   }
 
+  bool claim(const JobRequest &job) {
+    bool granted = false;
+    Claims.claim(job, {.Fenced = true, .Fresh = true},
+                 [&](const ClaimAnswer &it) {
+                   granted = std::holds_alternative<ClaimGranted>(it);
+                   Loop.stop();
+                 });
+    Loop.runUntil(monoNow() + Millis(3000));
+    return granted;
+  }
+
   Recorded accept(const JobRequest &job) {
     Recorded out = Recorded::Unclear;
     Claims.accepted(job, [&](Recorded it) {
@@ -104,3 +115,36 @@
   BOOST_REQUIRE(Claims.owed().size() == 1U);
   BOOST_TEST(Claims.owed()[0].SubmissionId == "t");
 }
+
+BOOST_FIXTURE_TEST_CASE(
+    holder_takes_the_pod_over_again_after_a_rival_has_let_it_go, Fixture) {
+  LedgerClaims rival(Loop, Log, EntryVmId("vm-2"));
+  rival.start();
+  Loop.runUntil(monoNow() + Millis(100));
+  rival.takeOver(PodId("dc"));
+  Loop.runUntil(monoNow() + Millis(100));
+  BOOST_REQUIRE(rival.writer().ledger().holderOf(PodId("dc"))->Holder ==
+                EntryVmId("vm-2"));
+  rival.letGo();
+  BOOST_TEST(!claim(job("s")));
+  Loop.runUntil(monoNow() + Millis(1000));
+  BOOST_TEST(claim(job("s")));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    job_waits_while_the_log_names_another_holder_instead_of_being_refused,
+    Fixture) {
+  LedgerClaims rival(Loop, Log, EntryVmId("vm-2"));
+  rival.start();
+  Loop.runUntil(monoNow() + Millis(100));
+  rival.takeOver(PodId("dc"));
+  Loop.runUntil(monoNow() + Millis(100));
+  bool deferred = false;
+  Claims.claim(job("s"), {.Fenced = true, .Fresh = true},
+               [&](const ClaimAnswer &it) {
+                 deferred = std::holds_alternative<ClaimDeferred>(it);
+                 Loop.stop();
+               });
+  Loop.runUntil(monoNow() + Millis(3000));
+  BOOST_TEST(deferred);
+}
