Keep the runs of a cut-off draining server until their leases end

Cause: the store removes the entry of a server that has left, and also of one that was silent for three report intervals. An unreachable draining server without an entry was taken for gone at once, and its runs started elsewhere.

Ruled out: a successor's missing state (the run was adopted: runs=5 at "unreachable"); leases (they had not lapsed). A refused connection is no proof that a server has left either, as cuts reset connections.

Change: the owner notes a lower bound of when each report was appended. An entry that is removed sooner after it than silence allows was removed by its server, which has left; only then do its runs go elsewhere before their leases end. The report interval is a setting.

Before: draining_server_that_is_cut_off_keeps_its_run_until_its_lease_ends failed. After: it passes, and run_of_a_server_that_has_left_starts_elsewhere_at_once shows that servers that do leave are not waited for.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -32,6 +32,9 @@
   Millis OwnershipTimeout{1500};
   /// Ended jobs can be queried for at least this long.
   Millis EndedJobRetention{150000};
+  /// The store removes the entry of a server that has not reported for this
+  /// long; the platform's three report intervals, less a tenth.
+  Millis ReportTimeout{4050};
   /// Time to wait for a missing entry to return; the platform's bound.
   Millis EntryReturnTimeout{3000};
 };
@@ -76,8 +79,12 @@
   bool hasEnded(const ServerEntry &entry);
   void addLink(const ServerEntry &entry);
   void dropServer(const ServerIncarnation &incarnation, const char *reason);
-  /// Removes unreachable servers whose entry is missing: draining ones at once,
-  /// others after `EntryReturnTimeout` if no runs are placed on them.
+  void onEntryRemoved(const BackendServerId &id);
+  /// Notes when the record of `id` that is being read was appended.
+  void noteReport(const BackendServerId &id);
+  /// Removes unreachable servers whose entry is missing: draining ones that
+  /// have deregistered at once, others after `EntryReturnTimeout` if no runs
+  /// are placed on them.
   void dropMissingServers();
   /// Releases runs placed on incarnations that are not listed.
   void releaseUnlistedRuns();
@@ -115,8 +122,17 @@
   std::unique_ptr<BatchAppender> RetiredAppender;
   /// Latest entry of each listed server.
   std::map<BackendServerId, ServerEntry> ListedServers;
-  /// Servers whose entry is missing but that may still run, and since when.
-  std::map<BackendServerId, MonoTime> MissingSince;
+  /// A listed server whose entry is missing. The server may still run.
+  struct MissingEntry {
+    MonoTime Since;
+    /// The entry was removed sooner after a report than silence would have it
+    /// removed, so the server removed it itself.
+    bool Deregistered = false;
+  };
+  std::map<BackendServerId, MissingEntry> MissingSince;
+  /// The latest report of a server was appended after this time; without an
+  /// entry, the time is not known.
+  std::map<BackendServerId, MonoTime> ReportedAfter;
   /// The incarnation that started last on each machine.
   std::map<std::string, ServerIncarnation> LatestIncarnations;
   /// Incarnations that have ended; stale entries of them may still be read.
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -98,6 +98,7 @@
       out.Controller.TickInterval = Millis(10);
       out.Controller.ServerListInterval = Millis(20);
       out.Controller.OwnershipTimeout = Millis(150);
+      out.Controller.ReportTimeout = Millis(100);
       out.Controller.Link.AnswerTimeout = Millis(40);
       out.Controller.Link.RetryDelay = Millis(10);
       out.Controller.Link.MaxLease = Millis(300);
@@ -438,6 +439,41 @@
   BOOST_TEST(Fleet.started() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(
+    draining_server_that_is_cut_off_keeps_its_run_until_its_lease_ends) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  Store.put(Servers, {"i-1", "draining"});
+  Store.put(Servers, {"i-2", "ready"});
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  // Neither the owner nor the store hears from the server, so the store removes
+  // its entry. The run goes on.
+  Fleet.at("i-1").Unreachable = true;
+  runFor(Millis(150));
+  Store.put(Servers, {"i-1", std::nullopt});
+  runFor(Millis(100));
+  BOOST_TEST(Fleet.at("i-2").Started.empty());
+  runFor(Millis(600));
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(run_of_a_server_that_has_left_starts_elsewhere_at_once) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  Store.put(Servers, {"i-1", "draining"});
+  Store.put(Servers, {"i-2", "ready"});
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  // The entry is removed sooner than silence would have it removed.
+  Store.put(Servers, {"i-1", "draining"});
+  runFor(Millis(30));
+  Fleet.at("i-1").Unreachable = true;
+  Store.put(Servers, {"i-1", std::nullopt});
+  runFor(Millis(150));
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(draining_server_gets_no_new_runs) {
   Store.put(Servers, {"i-1", "draining"});
   runFor(Millis(80));
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -105,6 +105,7 @@
   Links.clear();
   ListedServers.clear();
   MissingSince.clear();
+  ReportedAfter.clear();
   LatestIncarnations.clear();
   EndedIncarnations.clear();
   // Callbacks of the appender and the links may be on the stack.
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -11,11 +11,10 @@
     return;
   const BackendServerId id(record.Key);
   if (!record.Value) {
-    if (ListedServers.contains(id))
-      MissingSince.try_emplace(id, monoNow());
-    Planner->setListed(id, false);
+    onEntryRemoved(id);
     return;
   }
+  noteReport(id);
   auto read = ParseServerEntry(record);
   const auto *entry = std::get_if<ServerEntry>(&read);
   if (!entry) {
@@ -45,6 +44,27 @@
     addLink(*entry);
 }
 
+void PodController::onEntryRemoved(const BackendServerId &id) {
+  if (ListedServers.contains(id)) {
+    const auto report = ReportedAfter.find(id);
+    const bool deregistered =
+        report != ReportedAfter.end() &&
+        monoNow() - report->second < Options.ReportTimeout;
+    MissingSince.try_emplace(id, MissingEntry{monoNow(), deregistered});
+  }
+  ReportedAfter.erase(id);
+  Planner->setListed(id, false);
+}
+
+void PodController::noteReport(const BackendServerId &id) {
+  // A record that is read in order was appended after the previous read.
+  const auto previousRead = ServersReader.currentAsOf();
+  if (previousRead && !ServersReader.loading())
+    ReportedAfter.insert_or_assign(id, *previousRead);
+  else
+    ReportedAfter.erase(id);
+}
+
 bool PodController::hasEnded(const ServerEntry &entry) {
   if (EndedIncarnations.contains(entry.Incarnation))
     return true;
@@ -129,16 +149,16 @@
 void PodController::dropMissingServers() {
   const MonoTime now = monoNow();
   std::vector<ServerIncarnation> gone;
-  for (const auto &[id, since] : MissingSince) {
+  for (const auto &[id, missing] : MissingSince) {
     const auto listed = ListedServers.find(id);
     if (listed == ListedServers.end())
       continue;
     const ServerEntry &entry = listed->second;
     const auto link = Links.find(entry.Incarnation);
     const bool reachable = link != Links.end() && link->second->reachable();
-    const bool left = entry.Draining && !reachable;
+    const bool left = entry.Draining && !reachable && missing.Deregistered;
     const bool silent = !reachable &&
-                        now - since >= Options.EntryReturnTimeout &&
+                        now - missing.Since >= Options.EntryReturnTimeout &&
                         Planner->runsPlacedOn(entry.Incarnation).empty();
     if (left || silent)
       gone.push_back(entry.Incarnation);
--- a/packages/store/include/citrongap/store/topic_reader.h
+++ b/packages/store/include/citrongap/store/topic_reader.h
@@ -53,6 +53,9 @@
   LogOffset nextOffset() const { return NextOffset; }
   /// All latest values were loaded at least once.
   bool loaded() const { return Loaded; }
+  /// A load of the latest values is in progress or scheduled, so a record that
+  /// is delivered may be of any age.
+  bool loading() const { return Loading; }
   /// Takes effect with the next read.
   void setReadInterval(Millis interval) { Options.ReadInterval = interval; }
   /// The reader is healthy and between two reads, so records that were appended
