--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -5,6 +5,7 @@
 
 #include "citrongap/control/control_metrics.h"
 #include "citrongap/control/pod_controller.h"
+#include "citrongap/control/query_relay.h"
 #include "citrongap/control/request_front.h"
 #include "citrongap/store/owner_election.h"
 
@@ -38,6 +39,13 @@
   Millis FollowerPollWait{1000};
   /// Limit for the answer after the wait.
   Millis FollowerAnswerTimeout{1000};
+  /// Limit for the first byte of a page of the jobs, and between its bytes.
+  Millis JobsLoadTimeout{3000};
+  /// The jobs are loaded once the configuration is, or after this time.
+  Millis LoadJobsAfter{500};
+  /// A standby delays its load by a random time from one to two times this, so
+  /// that entry VMs that can own the pod load first.
+  Millis StandbyLoadDelay{1000};
 };
 
 /// Parsers of the site's own formats.
@@ -49,14 +57,19 @@
 
 class EntryNode {
 public:
+  /// `askPeers` carries questions to peers' answerForPeer().
   EntryNode(EventLoop &loop, StorePort &store, FleetPort &fleet, EventLog &log,
-            EntryNodeSettings settings, SiteParsers parsers);
+            EntryNodeSettings settings, SiteParsers parsers,
+            PeerTransport askPeers);
 
   void start();
   /// Called with each peer address read from the store.
   std::function<void(const EntryVmId &id, const std::string &at)> OnPeer;
   /// Calls `reply` exactly once.
   void handle(const CallerRequest &request, const RequestFront::Reply &reply);
+  /// Answers an encoded JobQuestion of a peer with an encoded answer.
+  void answerForPeer(const std::string &question,
+                     std::function<void(std::string)> reply);
   /// Whether new connections may be routed here.
   bool ready() const;
   /// Gives up ownership and becomes not ready; pending requests continue.
@@ -71,14 +84,23 @@
 private:
   /// Publishes this entry VM's address to its peers.
   void announce();
+  /// Reads the addresses of the peers, which follow the jobs in the topic.
+  void loadPeers();
+  /// Starts the load of the jobs, or schedules it on a standby; once.
+  void loadJobs();
   void onConfiguration(const KeyedRecord &record);
   void onOwnership(bool isOwner);
   void reportHealth(TopicReader &reader, const char *topic);
   TopicReaderOptions followerOptions() const;
+  TopicReaderOptions jobsOptions() const;
 
   EventLoop &Loop;
   EventLog &Log;
+  StorePort &Store;
   Timer AnnounceTimer;
+  Timer LoadPeersTimer;
+  Timer LoadJobsTimer;
+  bool LoadingJobs = false;
   Timer TakeOverTimer;
   EntryNodeSettings Settings;
   SiteParsers Parsers;
@@ -87,10 +109,13 @@
   TopicReader JobsReader;
   TopicReader ConfigurationReader;
   BatchAppender FrontAppender;
+  QueryRelay Relay;
   RequestFront Front;
   PodController Controller;
   OwnerElection Election;
   bool Draining = false;
+  /// Guards callbacks of store calls that outlive this object.
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
 };
 
 } // namespace citrongap
--- a/packages/control/include/citrongap/control/request_front.h
+++ b/packages/control/include/citrongap/control/request_front.h
@@ -5,6 +5,7 @@
 #define CITRONGAP_CONTROL_REQUEST_FRONT_H
 
 #include "citrongap/base/event_log.h"
+#include "citrongap/control/query_relay.h"
 #include "citrongap/control/site_configuration.h"
 #include "citrongap/control/work_registry.h"
 #include "citrongap/net/event_loop.h"
@@ -21,52 +22,6 @@
 
 namespace citrongap {
 
-enum class CallerVerb : std::uint8_t { Submit, Query, Cancel };
-
-struct CallerRequest {
-  CallerVerb Verb = CallerVerb::Query;
-  std::string Host;
-  /// Path without the query string.
-  std::string Path;
-  std::string ApiKey;
-  std::string Body;
-  /// End of the caller's wait.
-  MonoTime Deadline;
-};
-
-struct AnswerAccepted {};
-struct AnswerCancelled {};
-struct AnswerState {
-  WorkPhase Phase = WorkPhase::Queued;
-};
-/// Answer to a query for a whole queue.
-struct AnswerQueueLength {
-  std::size_t QueuedJobs = 0;
-};
-/// Also the answer for a job of another account.
-struct AnswerJobNotFound {};
-struct AnswerQueueNotFound {};
-struct AnswerUnauthorized {};
-/// The request had no effect and will have none.
-struct AnswerNotRun {
-  std::string Reason;
-  Millis RetryAfter{1000};
-};
-/// The records may have been stored; the caller may retry.
-struct AnswerUnknown {
-  std::string Reason;
-};
-struct AnswerInvalid {
-  Findings What;
-};
-
-using CallerAnswer = std::variant<AnswerAccepted, AnswerCancelled, AnswerState,
-                                  AnswerQueueLength, AnswerJobNotFound,
-                                  AnswerQueueNotFound, AnswerUnauthorized,
-                                  AnswerNotRun, AnswerUnknown, AnswerInvalid>;
-/// Value of the `answer` label and event name in the log.
-const char *describe(const CallerAnswer &answer);
-
 struct FrontOptions {
   /// Unknown jobs and keys are answered as such only if the registry and the
   /// configuration were read to the end within this time.
@@ -106,6 +61,12 @@
 
   /// Calls `reply` exactly once, possibly before it returns.
   void handle(const CallerRequest &request, const Reply &reply);
+  /// Answers a question from the jobs that this entry VM has loaded; calls
+  /// `reply` exactly once.
+  void answer(const JobQuestion &question, const Reply &reply);
+  /// Asks another entry VM while this one has not loaded the jobs. Without it,
+  /// such questions are refused.
+  std::function<void(const JobQuestion &, QueryRelay::Reply)> AskPeer;
   void setConfiguration(SiteConfiguration configuration);
   const SiteConfiguration *configuration() const {
     return Configuration ? &*Configuration : nullptr;
@@ -118,8 +79,8 @@
   void refuseUnsent();
   /// Number of requests that wait for the store.
   std::size_t pendingRequests() const { return Pending.size(); }
-  /// Whether the configuration and the jobs are loaded and the store was
-  /// reached recently.
+  /// Whether the configuration is loaded and the store was reached recently, so
+  /// that submissions can be accepted.
   bool connected() const;
   /// A read of the jobs topic was answered.
   void onJobsRead();
@@ -153,10 +114,9 @@
   void scheduleDueQueries();
   /// Reads the jobs topic after `wait` unless a read is scheduled.
   void scheduleJobsRead(Millis wait);
-  void query(const ClientAccountId &account, const WorkId &id,
-             const Reply &reply);
-  void cancel(const CallerRequest &request, const ClientAccountId &account,
-              const WorkId &id, const Reply &reply);
+  void askPeer(const JobQuestion &question, const Reply &reply);
+  void query(const JobQuestion &question, const Reply &reply);
+  void cancel(const JobQuestion &question, const Reply &reply);
   /// The job if it is known and belongs to the account or to none.
   const RegistryEntry *findVisible(const WorkId &id,
                                    const ClientAccountId &account) const;
--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -21,6 +21,12 @@
 /// Key of the address at which an entry VM accepts calls from peers.
 std::string peerKey(const EntryVmId &id);
 
+/// Key of the address of an entry VM that loads all jobs and answers questions
+/// about them.
+std::string holderKey(const EntryVmId &id);
+/// The addresses of peers and holders are the keys after this one.
+std::string keyBeforePeers();
+
 struct RegistryEntry {
   std::optional<WorkSpec> Spec;
   WorkPhase Phase = WorkPhase::Queued;
@@ -51,6 +57,8 @@
   std::function<void(const WorkId &id)> OnJobChange;
   /// Called with the published address of an entry VM, "IP:PORT".
   std::function<void(const EntryVmId &id, const std::string &at)> OnPeer;
+  /// Called with the published address of an entry VM that loads all jobs.
+  std::function<void(const EntryVmId &id, const std::string &at)> OnHolder;
 
 private:
   EventLog &Log;
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -12,6 +12,8 @@
 /// Epoch of a producer that no other incarnation uses: its name contains the
 /// incarnation id.
 constexpr Epoch FirstEpoch{1};
+/// Interval of reads of the peers' addresses while the jobs are not loaded.
+constexpr Millis LoadPeersInterval{1000};
 /// Delay before an owner that was fenced or could not record takes over again,
 /// if it is still elected. A new owner would have been elected by then.
 constexpr Millis TakeOverRetryDelay{400};
@@ -25,13 +27,20 @@
   return options;
 }
 
+TopicReaderOptions EntryNode::jobsOptions() const {
+  TopicReaderOptions options = followerOptions();
+  options.Load = ReadSize::Bulk;
+  options.LoadTimeout = Settings.JobsLoadTimeout;
+  return options;
+}
+
 EntryNode::EntryNode(EventLoop &loop, StorePort &store, FleetPort &fleet,
                      EventLog &log, EntryNodeSettings settings,
-                     SiteParsers parsers)
-    : Loop(loop), Log(log), Settings(std::move(settings)),
+                     SiteParsers parsers, PeerTransport askPeers)
+    : Loop(loop), Log(log), Store(store), Settings(std::move(settings)),
       Parsers(std::move(parsers)), Registry(log),
       JobsReader(
-          loop, store, Settings.Jobs, followerOptions(),
+          loop, store, Settings.Jobs, jobsOptions(),
           [this](const KeyedRecord &it) { Registry.apply(it); },
           [this] {
             // Before the first complete read, a take-over would be slow.
@@ -42,10 +51,12 @@
           }),
       ConfigurationReader(
           loop, store, Settings.Configuration, followerOptions(),
-          [this](const KeyedRecord &it) { onConfiguration(it); }, [] {}),
+          [this](const KeyedRecord &it) { onConfiguration(it); },
+          [this] { loadJobs(); }),
       FrontAppender(loop, store, Settings.Jobs,
                     Settings.Self.str() + "/" + Settings.IncarnationId,
                     FirstEpoch, Settings.Appender),
+      Relay(std::move(askPeers), QueryRelayOptions{}),
       Front(loop, Registry, JobsReader, ConfigurationReader, FrontAppender, log,
             Parsers.Submission, Settings.Front),
       Controller(loop, store, fleet, Registry, JobsReader, log, Metrics,
@@ -58,6 +69,14 @@
     if (OnPeer && id != Settings.Self)
       OnPeer(id, at);
   };
+  Registry.OnHolder = [this](const EntryVmId &id, const std::string &at) {
+    const auto peer = parseEndpoint(at);
+    if (peer && id != Settings.Self)
+      Relay.setHolder(id.str(), *peer);
+  };
+  Front.AskPeer = [this](const JobQuestion &question, QueryRelay::Reply done) {
+    Relay.ask(question, std::move(done));
+  };
   Registry.OnJobChange = [this](const WorkId &id) {
     Controller.onJobChange(id);
   };
@@ -85,20 +104,57 @@
 void EntryNode::start() {
   JobsReader.setReadInterval(Settings.FollowerReadInterval);
   ConfigurationReader.start();
-  JobsReader.start();
+  LoadJobsTimer =
+      Loop.at(monoNow() + Settings.LoadJobsAfter, [this] { loadJobs(); });
+  loadPeers();
   if (!Settings.PeerAddress.empty())
     announce();
 }
 
-void EntryNode::announce() {
-  FrontAppender.append(
-      {{peerKey(Settings.Self), Settings.PeerAddress}}, [this](bool appended) {
-        if (!appended)
-          AnnounceTimer =
-              Loop.at(monoNow() + Seconds(1), [this] { announce(); });
+void EntryNode::loadJobs() {
+  if (std::exchange(LoadingJobs, true))
+    return;
+  LoadJobsTimer.cancel();
+  if (!Settings.Election.Standby) {
+    JobsReader.start();
+    return;
+  }
+  const auto delay =
+      static_cast<std::uint64_t>(Settings.StandbyLoadDelay.count());
+  const auto wait = Random::fromDevice().between(delay, 2 * delay);
+  LoadJobsTimer = Loop.at(monoNow() + Millis(static_cast<std::int64_t>(wait)),
+                          [this] { JobsReader.start(); });
+}
+
+void EntryNode::loadPeers() {
+  if (JobsReader.loaded())
+    return;
+  Store.readLatest(
+      Settings.Jobs, keyBeforePeers(), ReadSize::Small,
+      monoNow() + Settings.FollowerAnswerTimeout,
+      [this, alive = std::weak_ptr<int>(Alive)](
+          const StoreResult<LatestValuesPage> &result) {
+        if (!alive.lock())
+          return;
+        if (const auto *page = std::get_if<LatestValuesPage>(&result))
+          for (const KeyedRecord &it : page->Records)
+            Registry.apply(it);
+        LoadPeersTimer =
+            Loop.at(monoNow() + LoadPeersInterval, [this] { loadPeers(); });
       });
 }
 
+void EntryNode::announce() {
+  std::vector<KeyedRecord> records{
+      {peerKey(Settings.Self), Settings.PeerAddress}};
+  if (!Settings.Election.Standby)
+    records.push_back({holderKey(Settings.Self), Settings.PeerAddress});
+  FrontAppender.append(std::move(records), [this](bool appended) {
+    if (!appended)
+      AnnounceTimer = Loop.at(monoNow() + Seconds(1), [this] { announce(); });
+  });
+}
+
 void EntryNode::onConfiguration(const KeyedRecord &record) {
   if (record.Key != Settings.ConfigurationKey || !record.Value)
     return;
@@ -140,6 +196,18 @@
   });
 }
 
+void EntryNode::answerForPeer(const std::string &question,
+                              std::function<void(std::string)> reply) {
+  const auto decoded = decodeJobQuestion(question, monoNow());
+  if (!decoded || !JobsReader.loaded()) {
+    reply(encode(std::optional<CallerAnswer>()));
+    return;
+  }
+  Front.answer(*decoded, [reply = std::move(reply)](const CallerAnswer &it) {
+    reply(encode(std::optional<CallerAnswer>(it)));
+  });
+}
+
 bool EntryNode::ready() const { return !Draining && Front.connected(); }
 
 void EntryNode::drain() {
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -75,13 +75,19 @@
     Vm(Site &site, const std::string &id)
         : View(site.Store),
           Node(site.Loop, View, site.Fleet, site.Log, settings(site, id),
-               {readSubmission, readServer, readConfiguration}) {
+               {readSubmission, readServer, readConfiguration},
+               site.peerTransport()) {
+      View.Faults.LargestLatestPage = site.LatestValuesLimit;
       Node.start();
     }
     static EntryNodeSettings settings(const Site &site, const std::string &id) {
       EntryNodeSettings out;
       out.Self = EntryVmId(id);
       out.IncarnationId = "1";
+      // "vm-1" is at port 1.
+      out.PeerAddress = "10.0.0.1:" + id.substr(id.find('-') + 1);
+      out.JobsLoadTimeout = Millis(40);
+      out.LoadJobsAfter = Millis(20);
       out.Configuration = Configuration;
       out.ConfigurationKey = "config";
       out.Servers = Servers;
@@ -112,6 +118,8 @@
   std::map<std::string, std::unique_ptr<Vm>> Vms;
   /// Interval of reads of the jobs topic, for entry VMs that are added later.
   Millis ReaderInterval{5};
+  /// Entry VMs that are added later get no pages of more than this many bytes.
+  std::size_t LatestValuesLimit = 1U << 20U;
 
   Site() {
     Store.put(Configuration, {"config", "1"});
@@ -121,6 +129,17 @@
     add("vm-2");
     runFor(Millis(60));
   }
+  /// Questions reach the addressed entry VM at once.
+  PeerTransport peerTransport() {
+    return [this](const Endpoint &peer, const std::string &bytes, CallDeadline,
+                  const std::function<void(std::optional<std::string>)> &done) {
+      const auto vm = Vms.find("vm-" + std::to_string(peer.Port));
+      if (vm == Vms.end() || !vm->second)
+        done(std::nullopt);
+      else
+        vm->second->Node.answerForPeer(bytes, done);
+    };
+  }
   void add(const std::string &id) { Vms[id] = std::make_unique<Vm>(*this, id); }
   void kill(const std::string &id) {
     Vms.erase(id);
@@ -199,6 +218,37 @@
   BOOST_TEST(state("vm-2") == "completed");
 }
 
+BOOST_AUTO_TEST_CASE(vm_without_the_jobs_accepts_and_asks_one_that_knows) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  // The pages of the jobs never reach the new entry VM.
+  LatestValuesLimit = 20;
+  add("vm-3");
+  runFor(Millis(100));
+  BOOST_TEST(Vms.at("vm-3")->Node.ready());
+  BOOST_TEST(state("vm-3") == "running");
+  BOOST_TEST(call("vm-3", CallerVerb::Query, WorkId("00000000000000aa")) ==
+             "no_job");
+  BOOST_TEST(call("vm-3", CallerVerb::Submit, WorkId("00000000000000bb")) ==
+             "accepted");
+  BOOST_TEST(call("vm-3", CallerVerb::Cancel, Job) == "cancelled");
+  runFor(Millis(60));
+  BOOST_TEST(state("vm-1") == "cancelled");
+}
+
+BOOST_AUTO_TEST_CASE(query_is_refused_at_once_when_no_vm_knows_the_jobs) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  LatestValuesLimit = 20;
+  add("vm-3");
+  runFor(Millis(60));
+  Vms["vm-1"].reset();
+  Vms["vm-2"].reset();
+  const MonoTime asked = monoNow();
+  BOOST_TEST(state("vm-3") == "not_run");
+  BOOST_TEST((monoNow() - asked).count() < 60);
+  BOOST_TEST(call("vm-3", CallerVerb::Cancel, Job) == "unknown");
+}
+
 BOOST_AUTO_TEST_CASE(new_owner_does_not_restart_a_running_task) {
   BOOST_TEST(submit("vm-2") == "accepted");
   runFor(Millis(60));
--- a/packages/control/src/peer_http.cpp
+++ b/packages/control/src/peer_http.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr const char *RelayPath = "/relay";
+constexpr const char *QuestionPath = "/question";
 constexpr const char *WaitHeader = "Wait-Ms";
 /// Upper bound on a relayed call: the longest poll and its answer.
 constexpr Millis LongestWait{15000};
@@ -21,18 +22,17 @@
   return std::clamp(Millis(ms), Millis(0), LongestWait);
 }
 
-} // namespace
-
-PeerTransport peerTransport(HttpClient &http) {
-  return [&http](const Endpoint &peer, std::string bytes, MonoTime deadline,
-                 std::function<void(std::optional<std::string>)> done) {
+PeerTransport postTo(HttpClient &http, const char *path) {
+  return [&http, path](const Endpoint &peer, std::string bytes,
+                       CallDeadline deadline,
+                       std::function<void(std::optional<std::string>)> done) {
     HttpRequest request;
     request.Method = "POST";
-    request.Target = RelayPath;
+    request.Target = path;
     request.Body = std::move(bytes);
     request.Headers.emplace_back("Content-Type", "application/octet-stream");
     request.Headers.emplace_back(
-        WaitHeader, std::to_string((deadline - monoNow()).count()));
+        WaitHeader, std::to_string((deadline.At - monoNow()).count()));
     http.call(peer, std::move(request), deadline,
               [done = std::move(done)](HttpResult result) {
                 auto *response = std::get_if<HttpResponse>(&result);
@@ -44,21 +44,34 @@
   };
 }
 
-HttpServer::Handler peerHandler(const RelayedStore &relayed, StorePort &store) {
-  return [&relayed, &store](const HttpRequest &request,
-                            const HttpResponder &responder) {
-    if (request.Method != "POST" || pathOf(request.Target) != RelayPath) {
+} // namespace
+
+PeerTransport peerTransport(HttpClient &http) {
+  return postTo(http, RelayPath);
+}
+
+PeerTransport questionTransport(HttpClient &http) {
+  return postTo(http, QuestionPath);
+}
+
+HttpServer::Handler peerHandler(RelayedStore &store, EntryNode &node) {
+  return [&store, &node](const HttpRequest &request,
+                         const HttpResponder &responder) {
+    const std::string path = pathOf(request.Target);
+    if (request.Method != "POST" ||
+        (path != RelayPath && path != QuestionPath)) {
       responder.send({404, R"({"error":"no such path"})"});
       return;
     }
     const auto reply = [responder](std::string bytes) {
       responder.send({200, std::move(bytes), "application/octet-stream"});
     };
-    if (!relayed.directWorks()) {
-      reply(encode(StoreReply(StoreError(StoreBusy{0}))));
+    if (path == QuestionPath) {
+      node.answerForPeer(request.Body, reply);
       return;
     }
-    serveStoreCall(store, request.Body, monoNow() + waitOf(request), reply);
+    const Millis wait = waitOf(request);
+    store.serve(request.Body, CallDeadline(monoNow() + wait, wait), reply);
   };
 }
 
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -51,8 +51,7 @@
 }
 
 bool RequestFront::connected() const {
-  return Configuration && JobsReader.loaded() &&
-         isCurrent(ConfigurationReader, Options.MaxReadAge) &&
+  return Configuration && isCurrent(ConfigurationReader, Options.MaxReadAge) &&
          !Appender.isRetrying();
 }
 
@@ -98,34 +97,56 @@
     return;
   }
   const std::string rest = request.Path.substr(queue->PathPrefix.size());
-  if (rest.empty() && request.Verb == CallerVerb::Query) {
-    if (!JobsReader.loaded())
-      logged(AnswerNotRun{"jobs are being read", StoreRetryAfter});
-    else
-      logged(AnswerQueueLength{Registry.queuedJobs(queue->Id)});
-    return;
-  }
-  if (!isWorkId(rest)) {
+  const bool aboutQueue = rest.empty() && request.Verb == CallerVerb::Query;
+  if (!aboutQueue && !isWorkId(rest)) {
     Findings findings;
     findings.add("path", "does not end with an id of 16 hexadecimal digits");
     logged(AnswerInvalid{std::move(findings)});
     return;
   }
   const WorkId id(rest);
-  switch (request.Verb) {
-  case CallerVerb::Submit:
+  if (request.Verb == CallerVerb::Submit) {
     submit(request, *queue, account, id, logged);
-    break;
-  case CallerVerb::Query:
-    answerWhenCurrent(
-        id, [this, account, id, logged] { query(account, id, logged); });
-    break;
-  case CallerVerb::Cancel:
-    answerWhenCurrent(id, [this, request, account, id, logged] {
-      cancel(request, account, id, logged);
-    });
-    break;
+    return;
   }
+  const JobQuestion question{request.Verb, queue->Id, account, id,
+                             request.Deadline};
+  if (JobsReader.loaded())
+    answer(question, logged);
+  else
+    askPeer(question, logged);
+}
+
+void RequestFront::answer(const JobQuestion &question, const Reply &reply) {
+  if (question.Id.empty()) {
+    reply(AnswerQueueLength{Registry.queuedJobs(question.Queue)});
+    return;
+  }
+  answerWhenCurrent(question.Id, [this, question, reply] {
+    if (question.Verb == CallerVerb::Cancel)
+      cancel(question, reply);
+    else
+      query(question, reply);
+  });
+}
+
+void RequestFront::askPeer(const JobQuestion &question, const Reply &reply) {
+  const AnswerNotRun refusal{"jobs are being read", StoreRetryAfter};
+  if (!AskPeer) {
+    reply(refusal);
+    return;
+  }
+  JobQuestion asked = question;
+  asked.Deadline -= Options.AnswerMargin;
+  AskPeer(asked, [verb = question.Verb, refusal,
+                  reply](const std::optional<CallerAnswer> &answer) {
+    if (answer)
+      reply(*answer);
+    else if (verb == CallerVerb::Cancel)
+      reply(AnswerUnknown{"no entry VM that knows the jobs answered"});
+    else
+      reply(refusal);
+  });
 }
 
 void RequestFront::submit(const CallerRequest &request, const QueueRules &queue,
@@ -237,9 +258,8 @@
   QueryTimer = Loop.at(first->Deadline, [this] { answerDueQueries(false); });
 }
 
-void RequestFront::query(const ClientAccountId &account, const WorkId &id,
-                         const Reply &reply) {
-  const RegistryEntry *entry = findVisible(id, account);
+void RequestFront::query(const JobQuestion &question, const Reply &reply) {
+  const RegistryEntry *entry = findVisible(question.Id, question.Account);
   if (!entry)
     reply(jobNotFound());
   else if (entry->CancelRequested && !ended(entry->Phase))
@@ -248,10 +268,8 @@
     reply(AnswerState{entry->Phase});
 }
 
-void RequestFront::cancel(const CallerRequest &request,
-                          const ClientAccountId &account, const WorkId &id,
-                          const Reply &reply) {
-  const RegistryEntry *entry = findVisible(id, account);
+void RequestFront::cancel(const JobQuestion &question, const Reply &reply) {
+  const RegistryEntry *entry = findVisible(question.Id, question.Account);
   if (!entry) {
     reply(jobNotFound());
     return;
@@ -264,8 +282,8 @@
     reply(AnswerNotRun{"the store is out of reach", StoreRetryAfter});
     return;
   }
-  const KeyedRecord record{cancelKey(id), "1"};
-  storeRecords({record}, request.Deadline, reply,
+  const KeyedRecord record{cancelKey(question.Id), "1"};
+  storeRecords({record}, question.Deadline, reply,
                [this, record]() -> CallerAnswer {
                  Registry.apply(record);
                  return AnswerCancelled{};
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -1,5 +1,6 @@
 // Keys of the jobs topic. With the id of a job: "j/" submission, "s/" state,
-// "c/" cancellation. With the id of an entry VM: "v/" address for peers.
+// "c/" cancellation. With the id of an entry VM: "v/" address for peers, "w/"
+// the same of one that loads all jobs.
 #include "citrongap/control/work_registry.h"
 
 #include <utility>
@@ -10,15 +11,18 @@
 std::string stateKey(const WorkId &id) { return "s/" + id.str(); }
 std::string cancelKey(const WorkId &id) { return "c/" + id.str(); }
 std::string peerKey(const EntryVmId &id) { return "v/" + id.str(); }
+std::string holderKey(const EntryVmId &id) { return "w/" + id.str(); }
+std::string keyBeforePeers() { return "u"; }
 
 void WorkRegistry::apply(const KeyedRecord &record) {
   const auto slash = record.Key.find('/');
   if (slash != 1)
     return;
   const char kind = record.Key[0];
-  if (kind == 'v') {
-    if (record.Value && OnPeer)
-      OnPeer(EntryVmId(record.Key.substr(2)), *record.Value);
+  if (kind == 'v' || kind == 'w') {
+    const auto &onAddress = kind == 'v' ? OnPeer : OnHolder;
+    if (record.Value && onAddress)
+      onAddress(EntryVmId(record.Key.substr(2)), *record.Value);
     return;
   }
   const WorkId id(record.Key.substr(2));
--- a/packages/net/include/citrongap/net/http_client.h
+++ b/packages/net/include/citrongap/net/http_client.h
@@ -2,7 +2,7 @@
 #ifndef CITRONGAP_NET_HTTP_CLIENT_H
 #define CITRONGAP_NET_HTTP_CLIENT_H
 
-#include "citrongap/base/time.h"
+#include "citrongap/net/call_deadline.h"
 #include "citrongap/net/endpoint.h"
 #include "citrongap/net/event_loop.h"
 #include "citrongap/net/http_message.h"
@@ -27,7 +27,7 @@
 
   /// Calls back exactly once, never before returning, and not after the client
   /// is destroyed. Refuses with `NotSent` past `MaxConnections` to `to`.
-  void call(const Endpoint &to, HttpRequest request, MonoTime deadline,
+  void call(const Endpoint &to, HttpRequest request, CallDeadline deadline,
             Callback callback);
 
   /// Connections to one endpoint, at the most.
@@ -40,6 +40,8 @@
 
   Connection *idleConnection(const Endpoint &to);
   void finish(Call *call, HttpResult result);
+  /// Ends the call when its deadline has passed, or moves the deadline on.
+  void checkDeadline(Call *call);
 
   EventLoop &Loop;
   std::string LocalIp;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -34,7 +35,20 @@
   evhttp_request *Request = nullptr;
   Callback Then;
   std::optional<HttpError> Error;
+  Millis ProgressTimeout{0};
+  /// Bytes of the answer at the last check of the deadline.
+  std::size_t BytesSeen = 0;
   Timer Deadline;
+
+  /// Bytes of the answer that have arrived so far.
+  std::size_t bytesReceived() const {
+    if (!Request)
+      return 0;
+    const std::size_t parsed =
+        evbuffer_get_length(evhttp_request_get_input_buffer(Request));
+    bufferevent *raw = evhttp_connection_get_bufferevent(Over->Handle);
+    return parsed + (raw ? evbuffer_get_length(bufferevent_get_input(raw)) : 0);
+  }
 };
 
 namespace {
@@ -129,7 +143,7 @@
 }
 
 void HttpClient::call(const Endpoint &to, HttpRequest request,
-                      MonoTime deadline, Callback callback) {
+                      CallDeadline deadline, Callback callback) {
   auto owned = std::make_unique<Call>();
   Call *call = owned.get();
   call->Owner = this;
@@ -171,18 +185,28 @@
     evhttp_add_header(headers, "Content-Type", "application/json");
   evbuffer_add(evhttp_request_get_output_buffer(call->Request),
                request.Body.data(), request.Body.size());
-  call->Deadline = Loop.at(deadline, [call] {
-    call->Error = HttpError::TimedOut;
-    call->Over->Spoilt = true;
-    evhttp_request *pending = std::exchange(call->Request, nullptr);
-    if (pending)
-      evhttp_cancel_request(pending);
-    call->Owner->finish(call, HttpError::TimedOut);
-  });
+  call->ProgressTimeout = deadline.ProgressTimeout;
+  call->Deadline = Loop.at(deadline.At, [this, call] { checkDeadline(call); });
   evhttp_make_request(call->Over->Handle, call->Request,
                       commandOf(request.Method), request.Target.c_str());
 }
 
+void HttpClient::checkDeadline(Call *call) {
+  const std::size_t received = call->bytesReceived();
+  if (call->ProgressTimeout > Millis(0) && received > call->BytesSeen) {
+    call->BytesSeen = received;
+    call->Deadline = Loop.at(monoNow() + call->ProgressTimeout,
+                             [this, call] { checkDeadline(call); });
+    return;
+  }
+  call->Error = HttpError::TimedOut;
+  call->Over->Spoilt = true;
+  evhttp_request *pending = std::exchange(call->Request, nullptr);
+  if (pending)
+    evhttp_cancel_request(pending);
+  finish(call, HttpError::TimedOut);
+}
+
 void HttpClient::finish(Call *call, HttpResult result) {
   const auto it = Calls.find(call);
   if (it == Calls.end())
--- a/packages/store/include/citrongap/store/memory_store.h
+++ b/packages/store/include/citrongap/store/memory_store.h
@@ -23,6 +23,9 @@
   bool LoseAnswers = false;
   /// Calls have no effect and end as StoreOutcomeUnknown at their deadline.
   bool Silent = false;
+  /// Bulk pages of more bytes than this end as StoreOutcomeUnknown at their
+  /// deadline.
+  std::size_t LargestLatestPage = SIZE_MAX;
 };
 
 /// The shared store. Each client uses its own MemoryStoreView, so that faults
@@ -43,6 +46,10 @@
   void lapse(const std::string &member);
   /// Moves ownership of the topic from its owner to the next member.
   void rebalance();
+  /// Rate at which all clients together read latest values; zero: unlimited.
+  std::size_t ReadBytesPerSecond = 0;
+  /// Most records of a page of latest values.
+  std::size_t LatestPageRecords = 3;
   /// Number of appends that reached the store.
   std::size_t appendCalls() const { return AppendCalls; }
 
@@ -96,6 +103,8 @@
   std::vector<Member> Members;
   Epoch Generation{1};
   std::size_t AppendCalls = 0;
+  /// The store has sent all latest values that were asked for before.
+  MonoTime ReadsFreeAt;
   /// Timers of posted callbacks and answers.
   std::list<Timer> Posted;
 };
@@ -107,6 +116,10 @@
 
   /// May be changed at any time; affects later calls only.
   MemoryStoreFaults Faults;
+  /// Rate of this client's link for pages of latest values; zero: unlimited.
+  std::size_t LinkBytesPerSecond = 0;
+  /// Bytes of latest values that the store has sent to this client.
+  std::size_t bytesSent() const { return BytesSent; }
 
   void append(const TopicId &topic, const AppendStamp &stamp,
               const std::vector<KeyedRecord> &records, MonoTime deadline,
@@ -114,7 +127,7 @@
   void read(const TopicId &topic, LogOffset from, MonoTime waitUntil,
             MonoTime deadline, StoreCallback<TopicPage> done) override;
   void readLatest(const TopicId &topic, const std::string &afterKey,
-                  MonoTime deadline,
+                  ReadSize size, CallDeadline deadline,
                   StoreCallback<LatestValuesPage> done) override;
   void join(const std::string &group, const std::string &member,
             const TopicId &topic, Millis sessionTimeout, Epoch last,
@@ -131,7 +144,12 @@
   template <typename T>
   void answer(StoreCallback<T> done, StoreResult<T> result, MonoTime at);
 
+  /// When the last byte of `bytes` arrives; sets `firstByteAt`.
+  MonoTime transfer(std::size_t bytes, MonoTime &firstByteAt);
+
   MemoryStore &Store;
+  MonoTime LinkFreeAt;
+  std::size_t BytesSent = 0;
 };
 
 } // namespace citrongap
--- a/packages/store/include/citrongap/store/store_port.h
+++ b/packages/store/include/citrongap/store/store_port.h
@@ -6,6 +6,7 @@
 
 #include "citrongap/base/ids.h"
 #include "citrongap/base/time.h"
+#include "citrongap/net/call_deadline.h"
 
 #include <cstdint>
 #include <functional>
@@ -61,7 +62,7 @@
 /// Latest values of a topic's keys, in the order of the keys.
 struct LatestValuesPage {
   std::vector<KeyedRecord> Records;
-  /// More keys follow the last one of `Records`.
+  /// More keys follow the last one of the page.
   bool More = false;
   /// Offset after the topic's last record when the page was read.
   LogOffset End;
@@ -117,6 +118,14 @@
 /// Receives the outcome of one call.
 template <typename T> using StoreCallback = std::function<void(StoreResult<T>)>;
 
+/// How much a call may return.
+enum class ReadSize : std::uint8_t {
+  /// A few records.
+  Small,
+  /// Up to 1 MB.
+  Bulk
+};
+
 /// Asynchronous calls to the store. Each ends at its `deadline` at the latest.
 class StorePort {
 public:
@@ -133,9 +142,10 @@
   virtual void read(const TopicId &topic, LogOffset from, MonoTime waitUntil,
                     MonoTime deadline, StoreCallback<TopicPage> done) = 0;
   /// Reads the latest record of each key after `afterKey`, one page a call;
-  /// the next page follows the last key of this one.
+  /// the next page follows the last key of this one. A record that the store
+  /// returns in a form that can't be read has no value.
   virtual void readLatest(const TopicId &topic, const std::string &afterKey,
-                          MonoTime deadline,
+                          ReadSize size, CallDeadline deadline,
                           StoreCallback<LatestValuesPage> done) = 0;
   /// Joins the group that owns `topic`, or renews the membership. The store
   /// removes a member that has not joined for `sessionTimeout`. `last` is the
--- a/packages/store/include/citrongap/store/store_relay.h
+++ b/packages/store/include/citrongap/store/store_relay.h
@@ -64,13 +64,13 @@
 /// Decodes a peer's call, makes it at `store` and passes the encoded reply to
 /// `done`. A malformed call is answered with StoreRefused.
 void serveStoreCall(StorePort &store, const std::string &bytes,
-                    MonoTime deadline,
+                    CallDeadline deadline,
                     std::function<void(std::string reply)> done);
 
 /// Sends an encoded call to a peer and passes its reply to the callback, or
 /// nothing if the peer does not answer before the deadline.
 using PeerTransport = std::function<void(
-    const Endpoint &peer, std::string bytes, MonoTime deadline,
+    const Endpoint &peer, std::string bytes, CallDeadline deadline,
     std::function<void(std::optional<std::string>)> done)>;
 
 /// Limits of a RelayedStore.
@@ -89,6 +89,8 @@
 };
 
 /// A StorePort that calls the store directly and, if that fails, through peers.
+/// Bulk reads are not hedged: a second copy would take the link and the store's
+/// read rate from the first. They use one path at a time.
 class RelayedStore : public StorePort {
 public:
   /// `direct` is the store as this entry VM reaches it.
@@ -97,8 +99,11 @@
 
   /// Adds a peer that calls can be relayed through, or changes its address.
   void setPeer(const std::string &name, const Endpoint &at);
-  /// The last direct call did not fail with StoreBusy or StoreOutcomeUnknown.
-  bool directWorks() const { return !Relaying; }
+  /// Makes a peer's call at the store. Answers StoreBusy if the last direct
+  /// call failed, or if another bulk read is in progress and the call is one,
+  /// so that a relay costs one hop and one bulk read at a time.
+  void serve(const std::string &bytes, CallDeadline deadline,
+             std::function<void(std::string reply)> done);
   /// Called with true and the reason when a direct call fails and calls go
   /// through peers from now on, and with false when a direct call works again.
   std::function<void(bool relaying, const std::string &reason)> OnRelaying;
@@ -109,7 +114,7 @@
   void read(const TopicId &topic, LogOffset from, MonoTime waitUntil,
             MonoTime deadline, StoreCallback<TopicPage> done) override;
   void readLatest(const TopicId &topic, const std::string &afterKey,
-                  MonoTime deadline,
+                  ReadSize size, CallDeadline deadline,
                   StoreCallback<LatestValuesPage> done) override;
   void join(const std::string &group, const std::string &member,
             const TopicId &topic, Millis sessionTimeout, Epoch last,
@@ -123,9 +128,9 @@
 private:
   struct RelayedCall;
   using DirectCall =
-      std::function<void(MonoTime, std::function<void(StoreReply)>)>;
+      std::function<void(CallDeadline, std::function<void(StoreReply)>)>;
 
-  void startCall(StoreCall request, Millis wait, MonoTime deadline,
+  void startCall(StoreCall request, Millis wait, CallDeadline deadline,
                  DirectCall direct, std::function<void(StoreReply)> done);
   void tryDirect(const std::shared_ptr<RelayedCall> &call);
   void tryPeer(const std::shared_ptr<RelayedCall> &call);
@@ -150,6 +155,8 @@
   MonoTime DirectBackoffUntil;
   /// The last direct call failed.
   bool Relaying = false;
+  /// Bulk reads in progress, of this entry VM and of peers.
+  int BulkReads = 0;
   /// Guards callbacks of calls that outlive this object.
   std::shared_ptr<int> Alive = std::make_shared<int>(0);
 };
--- a/packages/store/include/citrongap/store/topic_reader.h
+++ b/packages/store/include/citrongap/store/topic_reader.h
@@ -1,9 +1,12 @@
 // Follows one topic: loads the latest value of each key, then reads every
 // record in order. If the store no longer retains the reader's offset, the
-// reader loads the latest values again.
+// reader loads the latest values again. A load goes on from its last key after
+// a failure, so that many readers that load at once do not keep the store busy
+// by starting over.
 #ifndef CITRONGAP_STORE_TOPIC_READER_H
 #define CITRONGAP_STORE_TOPIC_READER_H
 
+#include "citrongap/base/random.h"
 #include "citrongap/net/event_loop.h"
 #include "citrongap/store/store_port.h"
 
@@ -22,11 +25,20 @@
   /// returns several records.
   Millis ReadInterval{0};
   /// Delay after a refused or unanswered read; bounds the time until the
-  /// store's recovery is detected.
+  /// store's recovery is detected. After the n-th failure in a row of a load,
+  /// the delay is random, up to 2^n times as long.
   Millis RetryDelay{150};
+  /// Upper bound of the delay before a load goes on.
+  Millis MaxLoadRetryDelay{2000};
   /// Limit for an answer, in addition to `Wait`. A store that takes
   /// 100 times its usual 4 ms still answers in time.
   Millis AnswerTimeout{1000};
+  /// Size of a page of the latest values.
+  ReadSize Load = ReadSize::Small;
+  /// Limit for the first byte of a bulk page, and for the time between bytes.
+  /// Doubles with each failure of a load, up to `MaxLoadTimeoutFactor` times.
+  Millis LoadTimeout{3000};
+  int MaxLoadTimeoutFactor = 8;
 };
 
 /// Reads one topic from start() to stop().
@@ -72,7 +84,9 @@
 private:
   /// Loads the latest value of each key, then reads on in order.
   void load();
-  void loadPage(const std::string &afterKey);
+  /// Loads the page after `LoadedUpTo`.
+  void loadPage();
+  void retryLoad();
   void onLatestPage(StoreResult<LatestValuesPage> result);
   void readNext();
   void onPage(MonoTime sentAt, StoreResult<TopicPage> result);
@@ -89,6 +103,14 @@
   /// The topic's end as of the first page of the load in progress; reading in
   /// order continues there after the last page.
   std::optional<LogOffset> LoadEnd;
+  /// Last key of the load in progress; empty before its first page.
+  std::string LoadedUpTo;
+  /// Failures in a row of the load in progress.
+  int LoadFailures = 0;
+  /// Times `LoadTimeout`; stays raised until the load ends, as the store
+  /// remains busy while others load.
+  int LoadTimeoutFactor = 1;
+  Random Jitter{Random::fromDevice()};
   bool Loaded = false;
   /// A load of the latest values is in progress or scheduled.
   bool Loading = false;
--- a/packages/store/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -185,23 +185,49 @@
 }
 
 void MemoryStoreView::readLatest(const TopicId &topic,
-                                 const std::string &afterKey, MonoTime deadline,
+                                 const std::string &afterKey, ReadSize size,
+                                 CallDeadline deadline,
                                  StoreCallback<LatestValuesPage> done) {
-  if (!admit<LatestValuesPage>(deadline, done))
+  if (!admit<LatestValuesPage>(deadline.At, done))
     return;
-  constexpr std::size_t PageSize = 3;
   const MemoryStore::Topic &it = Store.Topics[topic];
   LatestValuesPage page;
+  std::size_t bytes = 0;
   page.End = LogOffset(it.FirstRetained + it.Records.size());
   for (auto at = it.LatestByKey.upper_bound(afterKey);
        at != it.LatestByKey.end(); ++at) {
-    if (page.Records.size() == PageSize) {
+    if (page.Records.size() == Store.LatestPageRecords) {
       page.More = true;
       break;
     }
     page.Records.push_back(at->second);
+    bytes += at->first.size() + at->second.Value->size();
   }
-  answer<LatestValuesPage>(std::move(done), std::move(page), monoNow());
+  MonoTime firstByteAt;
+  const MonoTime lastByteAt = transfer(bytes, firstByteAt);
+  const MonoTime givenUpAt = deadline.isFixed() ? lastByteAt : firstByteAt;
+  const bool lost = size == ReadSize::Bulk && bytes > Faults.LargestLatestPage;
+  if (lost || givenUpAt > deadline.At)
+    answer<LatestValuesPage>(std::move(done),
+                             StoreError(StoreOutcomeUnknown{"too slow"}),
+                             deadline.At);
+  else
+    answer<LatestValuesPage>(std::move(done), std::move(page), lastByteAt);
+}
+
+MonoTime MemoryStoreView::transfer(std::size_t bytes, MonoTime &firstByteAt) {
+  const auto span = [bytes](std::size_t rate) {
+    return Millis(rate == 0 ? 0
+                            : static_cast<std::int64_t>(bytes * 1000 / rate));
+  };
+  BytesSent += bytes;
+  const MonoTime now = monoNow();
+  const MonoTime sentFrom = std::max(now, Store.ReadsFreeAt);
+  Store.ReadsFreeAt = sentFrom + span(Store.ReadBytesPerSecond);
+  firstByteAt = std::max(sentFrom, LinkFreeAt);
+  LinkFreeAt =
+      std::max(firstByteAt + span(LinkBytesPerSecond), Store.ReadsFreeAt);
+  return LinkFreeAt;
 }
 
 void MemoryStoreView::join(const std::string &, const std::string &member,
--- a/packages/store/src/store_relay.cpp
+++ b/packages/store/src/store_relay.cpp
@@ -10,10 +10,12 @@
 
 /// State of one call until its first definite reply and its last attempt.
 struct RelayedStore::RelayedCall {
+  explicit RelayedCall(CallDeadline deadline) : Deadline(deadline) {}
+
   StoreCall Request;
   /// How long a read waits for a record; 0 for other calls.
   Millis ReadWait{0};
-  MonoTime Deadline;
+  CallDeadline Deadline;
   DirectCall CallDirect;
   /// Empty once a reply was given.
   std::function<void(StoreReply)> Done;
@@ -67,14 +69,13 @@
   Peers[name] = at;
 }
 
-void RelayedStore::startCall(StoreCall request, Millis wait, MonoTime deadline,
-                             DirectCall direct,
+void RelayedStore::startCall(StoreCall request, Millis wait,
+                             CallDeadline deadline, DirectCall direct,
                              std::function<void(StoreReply)> done) {
   const bool isAppend = std::holds_alternative<AppendCall>(request);
-  auto call = std::make_shared<RelayedCall>();
+  auto call = std::make_shared<RelayedCall>(deadline);
   call->Request = std::move(request);
   call->ReadWait = wait;
-  call->Deadline = deadline;
   call->CallDirect = std::move(direct);
   call->Done = std::move(done);
   call->RemainingPeers = selectPeers();
@@ -86,13 +87,16 @@
   if (DirectBackoffUntil > MonoTime() && now >= DirectBackoffUntil)
     DirectBackoffUntil = now + Options.DirectBackoff;
   tryDirect(call);
+  if (!deadline.isFixed())
+    return;
   const Millis hedge =
       isAppend ? Options.HedgeDelay : wait + Options.HedgeDelay;
   if (!call->RemainingPeers.empty())
-    call->HedgeTimer = Loop.at(now + hedge, [this, call] {
-      if (call->Done)
-        tryPeer(call);
-    });
+    call->HedgeTimer =
+        Loop.at(now + hedge, [this, call, alive = std::weak_ptr<int>(Alive)] {
+          if (alive.lock() && call->Done)
+            tryPeer(call);
+        });
 }
 
 std::vector<Endpoint> RelayedStore::selectPeers() const {
@@ -129,8 +133,10 @@
   const Endpoint peer = call->RemainingPeers.front();
   call->RemainingPeers.erase(call->RemainingPeers.begin());
   ++call->InFlight;
-  const MonoTime peerDeadline = std::min(
-      call->Deadline, monoNow() + call->ReadWait + Options.PeerTimeout);
+  CallDeadline peerDeadline = call->Deadline;
+  if (peerDeadline.isFixed())
+    peerDeadline.At = std::min(peerDeadline.At, monoNow() + call->ReadWait +
+                                                    Options.PeerTimeout);
   Transport(peer, encode(call->Request), peerDeadline,
             [this, call, peer, alive = std::weak_ptr<int>(Alive)](
                 const std::optional<std::string> &bytes) {
@@ -184,7 +190,7 @@
   call->LastError = error;
   if (std::holds_alternative<StoreOutcomeUnknown>(error))
     call->OutcomeUnknown = true;
-  if (monoNow() < call->Deadline) {
+  if (monoNow() < call->Deadline.At) {
     if (!call->RemainingPeers.empty()) {
       tryPeer(call);
       return;
@@ -221,8 +227,8 @@
                           StoreCallback<AppendAcknowledged> done) {
   startCall(
       AppendCall{topic, stamp, records}, Millis(0), deadline,
-      [this, topic, stamp, records](MonoTime callDeadline, auto reply) {
-        Store.append(topic, stamp, records, callDeadline,
+      [this, topic, stamp, records](CallDeadline callDeadline, auto reply) {
+        Store.append(topic, stamp, records, callDeadline.At,
                      replyTo<AppendAcknowledged>(reply));
       },
       [done](StoreReply it) {
@@ -236,23 +242,26 @@
   const Millis wait = std::max(waitUntil - monoNow(), Millis(0));
   startCall(
       ReadCall{topic, from, wait.count()}, wait, deadline,
-      [this, topic, from, waitUntil](MonoTime callDeadline, auto reply) {
-        Store.read(topic, from, waitUntil, callDeadline,
+      [this, topic, from, waitUntil](CallDeadline callDeadline, auto reply) {
+        Store.read(topic, from, waitUntil, callDeadline.At,
                    replyTo<TopicPage>(reply));
       },
       [done](StoreReply it) { done(resultOf<TopicPage>(std::move(it))); });
 }
 
 void RelayedStore::readLatest(const TopicId &topic, const std::string &afterKey,
-                              MonoTime deadline,
+                              ReadSize size, CallDeadline deadline,
                               StoreCallback<LatestValuesPage> done) {
+  const int bulkReads = size == ReadSize::Bulk ? 1 : 0;
+  BulkReads += bulkReads;
   startCall(
       ReadLatestCall{topic, afterKey}, Millis(0), deadline,
-      [this, topic, afterKey](MonoTime callDeadline, auto reply) {
-        Store.readLatest(topic, afterKey, callDeadline,
+      [this, topic, afterKey, size](CallDeadline callDeadline, auto reply) {
+        Store.readLatest(topic, afterKey, size, callDeadline,
                          replyTo<LatestValuesPage>(reply));
       },
-      [done](StoreReply it) {
+      [this, bulkReads, done](StoreReply it) {
+        BulkReads -= bulkReads;
         done(resultOf<LatestValuesPage>(std::move(it)));
       });
 }
@@ -264,9 +273,9 @@
   startCall(
       JoinCall{group, member, topic, sessionTimeout.count(), last}, Millis(0),
       deadline,
-      [this, group, member, topic, sessionTimeout, last](MonoTime callDeadline,
-                                                         auto reply) {
-        Store.join(group, member, topic, sessionTimeout, last, callDeadline,
+      [this, group, member, topic, sessionTimeout,
+       last](CallDeadline callDeadline, auto reply) {
+        Store.join(group, member, topic, sessionTimeout, last, callDeadline.At,
                    replyTo<GroupMembership>(reply));
       },
       [done](StoreReply it) {
@@ -279,8 +288,9 @@
                              StoreCallback<TopicOwner> done) {
   startCall(
       FindOwnerCall{group, topic}, Millis(0), deadline,
-      [this, group, topic](MonoTime callDeadline, auto reply) {
-        Store.findOwner(group, topic, callDeadline, replyTo<TopicOwner>(reply));
+      [this, group, topic](CallDeadline callDeadline, auto reply) {
+        Store.findOwner(group, topic, callDeadline.At,
+                        replyTo<TopicOwner>(reply));
       },
       [done](StoreReply it) { done(resultOf<TopicOwner>(std::move(it))); });
 }
@@ -291,8 +301,28 @@
   Store.leave(group, member, deadline, std::move(done));
 }
 
+void RelayedStore::serve(const std::string &bytes, CallDeadline deadline,
+                         std::function<void(std::string reply)> done) {
+  const auto call = decodeStoreCall(bytes);
+  const bool isBulk = call && std::holds_alternative<ReadLatestCall>(*call);
+  if (Relaying || (isBulk && BulkReads > 0)) {
+    done(encode(StoreReply(StoreError(StoreBusy{0}))));
+    return;
+  }
+  const int bulkReads = isBulk ? 1 : 0;
+  BulkReads += bulkReads;
+  serveStoreCall(Store, bytes, deadline,
+                 [this, bulkReads, done = std::move(done),
+                  alive = std::weak_ptr<int>(Alive)](std::string reply) {
+                   if (!alive.lock())
+                     return;
+                   BulkReads -= bulkReads;
+                   done(std::move(reply));
+                 });
+}
+
 void serveStoreCall(StorePort &store, const std::string &bytes,
-                    MonoTime deadline,
+                    CallDeadline deadline,
                     std::function<void(std::string reply)> done) {
   const auto call = decodeStoreCall(bytes);
   const auto reply = [done = std::move(done)](const StoreReply &it) {
@@ -304,25 +334,25 @@
   }
   std::visit(
       Overloaded{[&](const AppendCall &it) {
-                   store.append(it.Topic, it.Stamp, it.Records, deadline,
+                   store.append(it.Topic, it.Stamp, it.Records, deadline.At,
                                 replyTo<AppendAcknowledged>(reply));
                  },
                  [&](const ReadCall &it) {
                    store.read(it.Topic, it.From, monoNow() + Millis(it.WaitMs),
-                              deadline, replyTo<TopicPage>(reply));
+                              deadline.At, replyTo<TopicPage>(reply));
                  },
                  [&](const ReadLatestCall &it) {
-                   store.readLatest(it.Topic, it.AfterKey, deadline,
-                                    replyTo<LatestValuesPage>(reply));
+                   store.readLatest(it.Topic, it.AfterKey, ReadSize::Bulk,
+                                    deadline, replyTo<LatestValuesPage>(reply));
                  },
                  [&](const FindOwnerCall &it) {
-                   store.findOwner(it.Group, it.Topic, deadline,
+                   store.findOwner(it.Group, it.Topic, deadline.At,
                                    replyTo<TopicOwner>(reply));
                  },
                  [&](const JoinCall &it) {
                    store.join(it.Group, it.Member, it.Topic,
                               Millis(it.SessionTimeoutMs), it.LastGeneration,
-                              deadline, replyTo<GroupMembership>(reply));
+                              deadline.At, replyTo<GroupMembership>(reply));
                  }},
       *call);
 }
--- a/packages/store/src/store_relay_test.cpp
+++ b/packages/store/src/store_relay_test.cpp
@@ -20,10 +20,11 @@
   bool PeerUnreachable = false;
   RelayedStore Relay{
       Loop, Refused,
-      [this](const Endpoint &, const std::string &bytes, MonoTime deadline,
+      [this](const Endpoint &, const std::string &bytes, CallDeadline deadline,
              const std::function<void(std::optional<std::string>)> &done) {
         if (PeerUnreachable) {
-          Timeouts.push_back(Loop.at(deadline, [done] { done(std::nullopt); }));
+          Timeouts.push_back(
+              Loop.at(deadline.At, [done] { done(std::nullopt); }));
           return;
         }
         serveStoreCall(Served, bytes, deadline,
--- a/packages/store/src/topic_reader.cpp
+++ b/packages/store/src/topic_reader.cpp
@@ -20,7 +20,10 @@
 void TopicReader::load() {
   Loading = true;
   LoadEnd.reset();
-  loadPage("");
+  LoadedUpTo.clear();
+  LoadFailures = 0;
+  LoadTimeoutFactor = 1;
+  loadPage();
 }
 
 void TopicReader::stop() {
@@ -48,11 +51,17 @@
   Healthy = false;
 }
 
-void TopicReader::loadPage(const std::string &afterKey) {
+void TopicReader::loadPage() {
   if (!Running)
     return;
   CallInFlight = true;
-  Store.readLatest(Topic, afterKey, monoNow() + Options.AnswerTimeout,
+  const MonoTime now = monoNow();
+  CallDeadline deadline = now + Options.AnswerTimeout;
+  if (Options.Load == ReadSize::Bulk) {
+    const Millis limit = Options.LoadTimeout * LoadTimeoutFactor;
+    deadline = CallDeadline(now + limit, limit);
+  }
+  Store.readLatest(Topic, LoadedUpTo, Options.Load, deadline,
                    [this, alive = std::weak_ptr<int>(Alive)](auto result) {
                      if (alive.lock())
                        onLatestPage(std::move(result));
@@ -65,9 +74,10 @@
     return;
   if (const auto *error = std::get_if<StoreError>(&result)) {
     recordFailure(*error);
-    schedule(Options.RetryDelay, [this] { load(); });
+    retryLoad();
     return;
   }
+  LoadFailures = 0;
   const auto &page = std::get<LatestValuesPage>(result);
   if (!LoadEnd) {
     if (OnReload)
@@ -79,7 +89,8 @@
   for (const KeyedRecord &it : page.Records)
     HandleRecord(it);
   if (page.More && !page.Records.empty()) {
-    loadPage(page.Records.back().Key);
+    LoadedUpTo = page.Records.back().Key;
+    loadPage();
     return;
   }
   NextOffset = *LoadEnd;
@@ -88,6 +99,18 @@
   readNext();
 }
 
+void TopicReader::retryLoad() {
+  constexpr int MostDoublings = 16;
+  LoadFailures = std::min(LoadFailures + 1, MostDoublings);
+  LoadTimeoutFactor =
+      std::min(LoadTimeoutFactor * 2, Options.MaxLoadTimeoutFactor);
+  const Millis longest = std::min(Options.RetryDelay * (1 << LoadFailures),
+                                  Options.MaxLoadRetryDelay);
+  const auto wait =
+      Jitter.between(0, static_cast<std::uint64_t>(longest.count()));
+  schedule(Millis(static_cast<std::int64_t>(wait)), [this] { loadPage(); });
+}
+
 void TopicReader::readNext() {
   if (!Running || CallInFlight)
     return;
