--- a/packages/net/include/citrongap/net/http_message.h
+++ b/packages/net/include/citrongap/net/http_message.h
@@ -45,6 +45,8 @@
 /// The value of a query parameter of `target`, percent-decoded; empty when
 /// absent.
 std::string queryParameter(const std::string &target, const std::string &name);
+/// Percent-encodes any bytes as the value of a parameter.
+std::string encodeQueryValue(const std::string &value);
 /// `target` without its query.
 std::string pathOf(const std::string &target);
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -3,6 +3,7 @@
 #include "citrongap/net/http_client.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -251,6 +252,14 @@
   return value;
 }
 
+std::string encodeQueryValue(const std::string &value) {
+  char *encoded =
+      evhttp_uriencode(value.data(), static_cast<ev_ssize_t>(value.size()), 0);
+  std::string out = encoded ? encoded : "";
+  std::free(encoded);
+  return out;
+}
+
 std::string pathOf(const std::string &target) {
   return target.substr(0, target.find('?'));
 }
