Cut and clean log lines so that they neither block nor break

Cause: a line over PIPE_BUF bytes waits for the reader of a full pipe, although poll() said that it is ready; a control character in an id of another writer breaks a line in two.

Before: long_line_is_cut_and_does_not_block hung (ended by timeout after 5 s). After: the three tests pass.

--- a/packages/base/src/event_log.cpp
+++ b/packages/base/src/event_log.cpp
@@ -1,11 +1,22 @@
 // Rate limit and non-blocking writes of the event log.
 #include "citrongap/base/event_log.h"
 
+#include <algorithm>
+#include <climits>
 #include <poll.h>
 #include <unistd.h>
 
 namespace citrongap {
 
+namespace {
+
+constexpr bool isControl(char it) {
+  const auto n = static_cast<unsigned char>(it);
+  return n < 0x20 || n == 0x7f;
+}
+
+} // namespace
+
 EventLog::EventLog(std::string node, int descriptor)
     : Node(std::move(node)), Descriptor(descriptor), WindowStart(monoNow()) {}
 
@@ -28,9 +39,13 @@
 
 void EventLog::write(std::string_view part, std::string_view event,
                      const std::string &fields) {
-  const std::string line =
-      fmt::format("t={} node={} part={} event={} {}\n", toMillis(wallNow()),
-                  Node, part, event, fields);
+  std::string line =
+      fmt::format("t={} node={} part={} event={} {}", toMillis(wallNow()), Node,
+                  part, event, fields);
+  // A pipe that is ready takes this much at once; a longer write would block.
+  line.resize(std::min<std::size_t>(line.size(), PIPE_BUF - 1));
+  std::replace_if(line.begin(), line.end(), isControl, '?');
+  line += '\n';
   pollfd out{Descriptor, POLLOUT, 0};
   if (poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0 ||
       ::write(Descriptor, line.data(), line.size()) < 0)
