Say "not appended" only when no attempt can have been

Cause: a refusal for good ended a batch as "not appended" although an earlier attempt had got no answer, and through a peer although the direct attempt was still in flight: the caller was told that its request had not run. The next batch then used the same sequence number, so that the store could take it for a repeat of the lost one and acknowledge it without storing it.

Change: an append has three outcomes; an unknown one is told to the caller as such, and the appender goes on in a new epoch, which bars late attempts.

Before: refusal_after_a_lost_answer_leaves_the_outcome_unknown (3 checks) and refusal_by_a_peer_is_not_definite_after_a_lost_answer failed, shown by taking the two conditions out. After: they pass.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -70,7 +70,7 @@
   std::function<void()> OnFenced;
 
 private:
-  void onFenceWritten(bool appended);
+  void onFenceWritten(AppendOutcome outcome);
   void activate();
   void loadJob(const WorkId &id);
   void onServerRecord(const KeyedRecord &record);
@@ -95,7 +95,7 @@
   void recordRound(PlannedRound round);
   void onRecorded(const PlannedRound &round,
                   const std::map<ServerIncarnation, std::uint64_t> &received,
-                  bool appended);
+                  AppendOutcome outcome);
   void sendStarts(const PlannedRound &round);
   void deleteEndedJobs();
   ServerLink::Events linkEvents();
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -149,8 +149,8 @@
       {peerKey(Settings.Self), Settings.PeerAddress}};
   if (!Settings.Election.Standby)
     records.push_back({holderKey(Settings.Self), Settings.PeerAddress});
-  FrontAppender.append(std::move(records), [this](bool appended) {
-    if (!appended)
+  FrontAppender.append(std::move(records), [this](AppendOutcome outcome) {
+    if (outcome != AppendOutcome::Appended)
       AnnounceTimer = Loop.at(monoNow() + Seconds(1), [this] { announce(); });
   });
 }
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -55,11 +55,11 @@
   };
   Log("owner", "taking_over", "epoch={}", epoch.value());
   ServersReader.start();
-  Appender->append({}, [this](bool appended) { onFenceWritten(appended); });
+  Appender->append({}, [this](AppendOutcome it) { onFenceWritten(it); });
 }
 
-void PodController::onFenceWritten(bool appended) {
-  if (!appended || !Planner)
+void PodController::onFenceWritten(AppendOutcome outcome) {
+  if (outcome != AppendOutcome::Appended || !Planner)
     return;
   ReplayUpTo = Appender->end();
   JobsReader.readNow();
@@ -210,18 +210,19 @@
   AppendInFlight = true;
   Appender->append(std::move(records),
                    [this, round = std::move(round),
-                    received = std::move(received)](bool appended) {
-                     onRecorded(round, received, appended);
+                    received = std::move(received)](AppendOutcome outcome) {
+                     onRecorded(round, received, outcome);
                    });
 }
 
 void PodController::onRecorded(
     const PlannedRound &round,
-    const std::map<ServerIncarnation, std::uint64_t> &received, bool appended) {
+    const std::map<ServerIncarnation, std::uint64_t> &received,
+    AppendOutcome outcome) {
   AppendInFlight = false;
   if (!Active)
     return;
-  if (!appended) {
+  if (outcome != AppendOutcome::Appended) {
     // The planner's state is ahead of the store, so it must be discarded.
     stepDown("the store refused a record");
     if (OnFenced)
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -297,14 +297,14 @@
   PendingRequest &pending = Pending[id];
   pending.Answer = reply;
   Appender.append(std::move(records), [this, id,
-                                       onStored =
-                                           std::move(onStored)](bool appended) {
-    if (!appended) {
+                                       onStored = std::move(onStored)](
+                                          AppendOutcome it) {
+    if (it == AppendOutcome::Appended)
+      finish(id, onStored());
+    else if (it == AppendOutcome::Unknown)
+      finish(id, AnswerUnknown{"the store refused a repeat of the record"});
+    else
       finish(id, AnswerNotRun{"the store refused the record", StoreRetryAfter});
-      return;
-    }
-    const CallerAnswer answer = onStored();
-    finish(id, answer);
   });
   pending.Ticket = Appender.lastTicket();
   // A short deadline leaves no room for the margin; three quarters of the
--- a/packages/store/include/citrongap/store/batch_appender.h
+++ b/packages/store/include/citrongap/store/batch_appender.h
@@ -30,12 +30,19 @@
   std::size_t MaxBatchBytes = 1U << 20U;
 };
 
+/// Whether the records of one append are in the store.
+enum class AppendOutcome : std::uint8_t {
+  Appended,
+  /// They are not in the store and never will be.
+  NotAppended,
+  /// An attempt without an answer may have appended them.
+  Unknown
+};
+
 /// Appends to one topic as one producer in one epoch.
 class BatchAppender {
 public:
-  /// Receives whether the records are in the store. False only if they are
-  /// not and never will be under this producer.
-  using Done = std::function<void(bool appended)>;
+  using Done = std::function<void(AppendOutcome)>;
 
   /// `producer` and `epoch` identify the writer to the store; see AppendStamp.
   BatchAppender(EventLoop &loop, StorePort &store, TopicId topic,
@@ -73,7 +80,10 @@
   void sendNext();
   void send();
   void onAnswer(StoreResult<AppendAcknowledged> result);
-  void finishBatch(bool appended);
+  /// Ends the batch in flight as failed: with an unknown outcome if an attempt
+  /// got no answer.
+  void failBatch();
+  void finishBatch(AppendOutcome outcome);
   void failAll();
   /// Marks the appender as fenced and fails all appends: another producer has
   /// used this name with this epoch or a newer one.
--- a/packages/store/include/citrongap/store/memory_store.h
+++ b/packages/store/include/citrongap/store/memory_store.h
@@ -23,6 +23,8 @@
   bool LoseAnswers = false;
   /// Calls have no effect and end as StoreOutcomeUnknown at their deadline.
   bool Silent = false;
+  /// Unless 0, appends are refused for good with this status.
+  int RefuseWith = 0;
   /// Bulk pages of more bytes than this end as StoreOutcomeUnknown at their
   /// deadline.
   std::size_t LargestLatestPage = SIZE_MAX;
--- a/packages/store/src/batch_appender.cpp
+++ b/packages/store/src/batch_appender.cpp
@@ -71,7 +71,7 @@
 void BatchAppender::onAnswer(StoreResult<AppendAcknowledged> result) {
   if (const auto *done = std::get_if<AppendAcknowledged>(&result)) {
     End = done->End;
-    finishBatch(true);
+    finishBatch(AppendOutcome::Appended);
     return;
   }
   const StoreError &error = std::get<StoreError>(result);
@@ -82,7 +82,7 @@
   if (std::holds_alternative<StoreBusy>(error) && !OutcomeUnknown &&
       Options.RefusalTimeout.count() > 0 &&
       monoNow() - FirstAttemptAt >= Options.RefusalTimeout) {
-    finishBatch(false);
+    failBatch();
     return;
   }
   if (std::holds_alternative<StoreFenced>(error)) {
@@ -91,7 +91,7 @@
   }
   if (const auto *refused = std::get_if<StoreRefused>(&error);
       refused && refused->Status != 507) {
-    finishBatch(false);
+    failBatch();
     return;
   }
   if (const auto *mismatch = std::get_if<StoreOutOfSequence>(&error)) {
@@ -99,7 +99,7 @@
     // earlier attempt was appended. Any other mismatch shows that another
     // producer uses this name and epoch.
     if (Attempts > 1 && mismatch->Expected == Stamp.Sequence + 1)
-      finishBatch(true);
+      finishBatch(AppendOutcome::Appended);
     else
       failAsFenced();
     return;
@@ -115,9 +115,20 @@
     onFenced();
 }
 
-void BatchAppender::finishBatch(bool appended) {
-  if (appended && !BatchRecords.empty())
+void BatchAppender::failBatch() {
+  finishBatch(OutcomeUnknown ? AppendOutcome::Unknown
+                             : AppendOutcome::NotAppended);
+}
+
+void BatchAppender::finishBatch(AppendOutcome outcome) {
+  if (outcome == AppendOutcome::Appended && !BatchRecords.empty())
     ++Stamp.Sequence;
+  if (outcome == AppendOutcome::Unknown) {
+    // Under the same sequence number, the next batch could be taken for a
+    // repeat of this one. A new epoch also bars late attempts of this one.
+    Stamp.At = Stamp.At.next();
+    Stamp.Sequence = 0;
+  }
   std::vector<Entry> done = std::exchange(Batch, {});
   BatchRecords.clear();
   InFlight = false;
@@ -125,22 +136,25 @@
   const std::weak_ptr<int> alive = Alive;
   for (Entry &it : done)
     if (it.OnDone)
-      it.OnDone(appended);
+      it.OnDone(outcome);
   if (alive.lock() && !InFlight)
     sendNext();
 }
 
 void BatchAppender::failAll() {
-  std::vector<Entry> dropped = std::exchange(Batch, {});
-  for (Entry &it : Queue)
-    dropped.push_back(std::move(it));
-  Queue.clear();
+  const std::vector<Entry> sent = std::exchange(Batch, {});
+  const std::deque<Entry> queued = std::exchange(Queue, {});
+  const AppendOutcome outcome =
+      OutcomeUnknown ? AppendOutcome::Unknown : AppendOutcome::NotAppended;
   BatchRecords.clear();
   InFlight = false;
   const std::weak_ptr<int> alive = Alive;
-  for (Entry &it : dropped)
+  for (const Entry &it : sent)
+    if (it.OnDone && alive.lock())
+      it.OnDone(outcome);
+  for (const Entry &it : queued)
     if (it.OnDone && alive.lock())
-      it.OnDone(false);
+      it.OnDone(AppendOutcome::NotAppended);
 }
 
 } // namespace citrongap
--- a/packages/store/src/batch_appender_test.cpp
+++ b/packages/store/src/batch_appender_test.cpp
@@ -19,10 +19,14 @@
   BatchAppender Appender{Loop, View, Jobs, "vm-1", Epoch(1), QuickOptions};
   int Appended = 0;
   int Failed = 0;
+  int Unknown = 0;
 
   void append(const std::string &key) {
-    Appender.append({{key, "v"}},
-                    [this](bool ok) { (ok ? Appended : Failed) += 1; });
+    Appender.append({{key, "v"}}, [this](AppendOutcome it) {
+      Appended += it == AppendOutcome::Appended ? 1 : 0;
+      Failed += it == AppendOutcome::NotAppended ? 1 : 0;
+      Unknown += it == AppendOutcome::Unknown ? 1 : 0;
+    });
   }
   void runFor(Millis span) { Loop.runUntil(monoNow() + span); }
 };
@@ -58,7 +62,9 @@
                         {Millis(30), Millis(5), Millis(20)});
   View.Faults.Busy = true;
   int failed = 0;
-  limited.append({{"a", "v"}}, [&](bool ok) { failed += ok ? 0 : 1; });
+  limited.append({{"a", "v"}}, [&](AppendOutcome it) {
+    failed += it == AppendOutcome::NotAppended ? 1 : 0;
+  });
   runFor(Millis(60));
   BOOST_TEST(failed == 1);
   View.Faults.Busy = false;
@@ -73,7 +79,7 @@
                         {Millis(30), Millis(5), Millis(20)});
   View.Faults.LoseAnswers = true;
   int answers = 0;
-  limited.append({{"a", "v"}}, [&](bool) { ++answers; });
+  limited.append({{"a", "v"}}, [&](AppendOutcome) { ++answers; });
   runFor(Millis(45));
   View.Faults.LoseAnswers = false;
   View.Faults.Busy = true;
@@ -96,6 +102,23 @@
   BOOST_TEST(Store.size(Jobs) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(refusal_after_a_lost_answer_leaves_the_outcome_unknown) {
+  View.Faults.LoseAnswers = true;
+  append("a");
+  runFor(Millis(15));
+  BOOST_REQUIRE(Store.size(Jobs) == 1U);
+  View.Faults.RefuseWith = 400;
+  runFor(Millis(60));
+  BOOST_TEST(Failed == 0);
+  BOOST_TEST(Unknown == 1);
+  // The next append must not be taken for a repeat of this one.
+  View.Faults = {};
+  append("b");
+  runFor(Millis(30));
+  BOOST_TEST(Appended == 1);
+  BOOST_TEST(Store.size(Jobs) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(append_that_was_not_sent_can_be_withdrawn) {
   View.Faults.Silent = true;
   append("a");
@@ -119,7 +142,9 @@
   runFor(Millis(20));
   bool appended = false;
   bool refused = false;
-  twin.append({{"c", "v"}}, [&](bool ok) { (ok ? appended : refused) = true; });
+  twin.append({{"c", "v"}}, [&](AppendOutcome it) {
+    (it == AppendOutcome::Appended ? appended : refused) = true;
+  });
   runFor(Millis(40));
   BOOST_TEST(!appended);
   BOOST_TEST(refused);
--- a/packages/store/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -148,6 +148,12 @@
                              StoreCallback<AppendAcknowledged> done) {
   if (!admit<AppendAcknowledged>(deadline, done))
     return;
+  if (Faults.RefuseWith != 0) {
+    answer<AppendAcknowledged>(std::move(done),
+                               StoreError(StoreRefused{Faults.RefuseWith, ""}),
+                               monoNow());
+    return;
+  }
   auto result = Store.append(topic, stamp, records);
   if (Faults.LoseAnswers)
     answer<AppendAcknowledged>(std::move(done),
--- a/packages/store/src/store_relay.cpp
+++ b/packages/store/src/store_relay.cpp
@@ -182,7 +182,13 @@
   }
   if (!call->Done)
     return;
-  if (isDefinite(reply)) {
+  const auto *refusal = std::get_if<StoreError>(&reply);
+  const bool isRefusal =
+      refusal && std::holds_alternative<StoreRefused>(*refusal);
+  // Another attempt may have taken effect, or may still do so.
+  const bool isUncertain =
+      isRefusal && (call->OutcomeUnknown || call->InFlight > 0);
+  if (isDefinite(reply) && !isUncertain) {
     finish(call, reply);
     return;
   }
@@ -205,9 +211,10 @@
   // No path gave a definite reply. The next call goes directly again, so that
   // the store's recovery is detected.
   DirectBackoffUntil = MonoTime();
-  // StoreBusy guarantees that the call had no effect. That holds only if no
-  // attempt on any path is of unknown outcome.
-  if (call->OutcomeUnknown && std::holds_alternative<StoreBusy>(error))
+  // StoreBusy and StoreRefused guarantee that the call had no effect. That
+  // holds only if no attempt on any path is of unknown outcome.
+  if (call->OutcomeUnknown &&
+      !std::holds_alternative<StoreOutcomeUnknown>(error))
     finish(call, StoreError(StoreOutcomeUnknown{
                      "one of several attempts got no answer"}));
   else
--- a/packages/store/src/store_relay_test.cpp
+++ b/packages/store/src/store_relay_test.cpp
@@ -88,6 +88,16 @@
       std::get<StoreError>(result)));
 }
 
+BOOST_AUTO_TEST_CASE(refusal_by_a_peer_is_not_definite_after_a_lost_answer) {
+  Refused.Faults.LoseAnswers = true;
+  Served.Faults.RefuseWith = 400;
+  const auto result = append(0);
+  BOOST_REQUIRE(!done(result));
+  BOOST_TEST(std::holds_alternative<StoreOutcomeUnknown>(
+      std::get<StoreError>(result)));
+  BOOST_TEST(Store.size(Jobs) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(direct_path_is_used_again_when_it_works) {
   int changes = 0;
   Relay.OnRelaying = [&](bool, const std::string &) { ++changes; };
