Count a backlog by its age when the pod is taken over

Cause: a successor counted every waiting urgent job that it read as an arrival of this moment, and kept servers for as many more.

Before: backlog_of_a_take_over_does_not_count_as_new_arrivals failed (11 of 11 starts; shown by taking the age out). After: it passes.

--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -1,6 +1,7 @@
 // Take-over and planning rounds of the owner.
 #include "citrongap/control/pod_controller.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace citrongap {
@@ -145,7 +146,9 @@
     }
     if (ended(record.Phase) && !record.anyPlaced())
       return;
-    Planner->addWork(*entry->Spec, std::move(record), monoNow());
+    const Millis age(std::max<std::int64_t>(
+        toMillis(wallNow()) - entry->Spec->AcceptedAtMs, 0));
+    Planner->addWork(*entry->Spec, std::move(record), monoNow(), age);
   }
   if (entry->CancelRequested)
     Planner->cancel(id, toMillis(wallNow()));
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -167,7 +167,9 @@
   void expireLeases(const ServerIncarnation &incarnation, MonoTime now);
 
   // Jobs. Adding a job whose id is present has no effect.
-  void addWork(const WorkSpec &spec, WorkRecord record, MonoTime now);
+  /// `age` is the time since the job was accepted.
+  void addWork(const WorkSpec &spec, WorkRecord record, MonoTime now,
+               Millis age = Millis(0));
   /// Ends the job as cancelled and stops its runs.
   void cancel(const WorkId &id, std::int64_t wallMs);
 
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -74,8 +74,8 @@
   Health.removeServer(incarnation.Id);
 }
 
-void PodPlanner::addWork(const WorkSpec &spec, WorkRecord record,
-                         MonoTime now) {
+void PodPlanner::addWork(const WorkSpec &spec, WorkRecord record, MonoTime now,
+                         Millis age) {
   const auto [it, added] =
       Works.try_emplace(spec.Id, PlannedWork{spec, std::move(record)});
   if (!added)
@@ -83,7 +83,8 @@
   PlannedWork &work = it->second;
   if (spec.Priority == 0 && work.Record.Occurrences.empty())
     for (const StepSpec &step : spec.Steps)
-      UrgentArrivals.emplace_back(now, step.Requested.GpuCount * step.Count);
+      UrgentArrivals.emplace_back(now - age,
+                                  step.Requested.GpuCount * step.Count);
   for (std::uint32_t k = 0; k < work.Record.Occurrences.size(); ++k) {
     auto &steps = work.Record.Occurrences[k].Steps;
     for (std::uint32_t s = 0; s < steps.size(); ++s)
--- a/packages/workload/src/pod_planner_test.cpp
+++ b/packages/workload/src/pod_planner_test.cpp
@@ -340,4 +340,20 @@
   BOOST_TEST(plan().Stops.empty());
 }
 
+BOOST_AUTO_TEST_CASE(backlog_of_a_take_over_does_not_count_as_new_arrivals) {
+  // Urgent jobs that no server can run: only their arrival matters.
+  const auto startsBeside = [](Millis age) {
+    PlannerFixture site;
+    site.addServers(16);
+    for (int n = 0; n < 32; ++n) {
+      WorkSpec urgent = job("urgent-" + std::to_string(n), 1, 8, false, 0);
+      urgent.Service = "other";
+      site.Planner.addWork(urgent, {}, site.Now, age);
+    }
+    site.submit(job("low", 16, 8, false, 2));
+    return site.plan().Starts.size();
+  };
+  BOOST_TEST(startsBeside(Millis(0)) < startsBeside(Seconds(60)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
