Drop servers and ended jobs that were removed while nobody read

Cause: when the store no longer retained the owner's place, it loaded the list of servers anew, but kept those that were not on it: their removal was never read. A server that had left was given work again.

Before: server_that_left_unseen_gets_no_new_runs failed. After: it passes. A load now ends with the keys that it found; servers that are not among them count as removed, and entry VMs forget ended jobs in the same way.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -80,6 +80,9 @@
   void addLink(const ServerEntry &entry);
   void dropServer(const ServerIncarnation &incarnation, const char *reason);
   void onEntryRemoved(const BackendServerId &id);
+  /// Entries that were removed while the owner did not read are not among the
+  /// keys of a load.
+  void onServersLoaded(const std::set<std::string> &keys);
   /// Notes when the record of `id` that is being read was appended.
   void noteReport(const BackendServerId &id);
   /// Removes unreachable servers whose entry is missing: draining ones that
--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace citrongap {
@@ -44,8 +45,9 @@
   void apply(const KeyedRecord &record);
   /// Adds a job whose submission this entry VM has stored.
   void applySpec(WorkSpec spec);
-  /// For a reload of the whole topic.
-  void clear() { Entries.clear(); }
+  /// After a load of the whole topic: removes ended jobs whose submission is
+  /// not among its keys. Others may have been submitted during the load.
+  void removeEndedExcept(const std::set<std::string> &keys);
 
   /// Only jobs whose submission is known.
   const RegistryEntry *find(const WorkId &id) const;
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -89,6 +89,9 @@
     TakeOverTimer = Loop.at(monoNow() + TakeOverRetryDelay,
                             [this] { onOwnership(Election.isOwner()); });
   };
+  JobsReader.OnLoaded = [this](const std::set<std::string> &keys) {
+    Registry.removeEndedExcept(keys);
+  };
   reportHealth(JobsReader, "jobs");
   reportHealth(ConfigurationReader, "configuration");
 }
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -524,6 +524,22 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(server_that_left_unseen_gets_no_new_runs) {
+  // The owner does not read for a while, and the removal of the entry is no
+  // longer among the retained records when it reads on.
+  Vms.at("vm-1")->View.Faults.Busy = true;
+  runFor(Millis(30));
+  Store.put(Servers, {"i-1", std::nullopt});
+  Store.put(Servers, {"i-2", "ready"});
+  Store.compact(Servers);
+  Vms.at("vm-1")->View.Faults.Busy = false;
+  runFor(Millis(300));
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(150));
+  BOOST_TEST(Fleet.at("i-1").Started.empty());
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(draining_server_gets_no_new_runs) {
   Store.put(Servers, {"i-1", "draining"});
   runFor(Millis(80));
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -35,7 +35,11 @@
           TopicReaderOptions{.Wait = Millis(0),
                              .ReadInterval = options.ServerListInterval},
           [this](const KeyedRecord &it) { onServerRecord(it); },
-          [this] { scheduleRound(); }) {}
+          [this] { scheduleRound(); }) {
+  ServersReader.OnLoaded = [this](const std::set<std::string> &keys) {
+    onServersLoaded(keys);
+  };
+}
 
 PodController::~PodController() = default;
 
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -56,6 +56,17 @@
   Planner->setListed(id, false);
 }
 
+void PodController::onServersLoaded(const std::set<std::string> &keys) {
+  std::vector<BackendServerId> removed;
+  for (const auto &[id, entry] : ListedServers)
+    if (!keys.contains(id.str()) && !MissingSince.contains(id))
+      removed.push_back(id);
+  for (const BackendServerId &it : removed) {
+    Log("servers", "entry_removed_unseen", "server={}", it.str());
+    onEntryRemoved(it);
+  }
+}
+
 void PodController::noteReport(const BackendServerId &id) {
   // A record that is read in order was appended after the previous read.
   const auto previousRead = ServersReader.currentAsOf();
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -69,6 +69,12 @@
     OnJobChange(id);
 }
 
+void WorkRegistry::removeEndedExcept(const std::set<std::string> &keys) {
+  std::erase_if(Entries, [&](const auto &it) {
+    return ended(it.second.Phase) && !keys.contains(specKey(it.first));
+  });
+}
+
 const RegistryEntry *WorkRegistry::find(const WorkId &id) const {
   const auto it = Entries.find(id);
   return it == Entries.end() || !it->second.Spec ? nullptr : &it->second;
--- a/packages/store/include/citrongap/store/topic_reader.h
+++ b/packages/store/include/citrongap/store/topic_reader.h
@@ -13,6 +13,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 
 namespace citrongap {
 
@@ -77,6 +79,9 @@
   void readNow();
   /// Called before the records of a load of the latest values, also the first.
   std::function<void()> OnReload;
+  /// Called after each load with the keys that it found. Others were removed,
+  /// or follow in order.
+  std::function<void(const std::set<std::string> &keys)> OnLoaded;
   /// Called with false and the reason at the first failed read after a
   /// successful one, and with true when a read succeeds again.
   std::function<void(bool healthy, const std::string &reason)> OnHealth;
@@ -105,6 +110,8 @@
   std::optional<LogOffset> LoadEnd;
   /// Last key of the load in progress; empty before its first page.
   std::string LoadedUpTo;
+  /// Keys that the load in progress has found.
+  std::set<std::string> LoadedKeys;
   /// Failures in a row of the load in progress.
   int LoadFailures = 0;
   /// Times `LoadTimeout`; stays raised until the load ends, as the store
--- a/packages/store/src/topic_reader.cpp
+++ b/packages/store/src/topic_reader.cpp
@@ -21,6 +21,7 @@
   Loading = true;
   LoadEnd.reset();
   LoadedUpTo.clear();
+  LoadedKeys.clear();
   LoadFailures = 0;
   LoadTimeoutFactor = 1;
   loadPage();
@@ -86,8 +87,10 @@
     // first page's end. These records are read again in order.
     LoadEnd = page.End;
   }
-  for (const KeyedRecord &it : page.Records)
+  for (const KeyedRecord &it : page.Records) {
+    LoadedKeys.insert(it.Key);
     HandleRecord(it);
+  }
   if (page.More && !page.Records.empty()) {
     LoadedUpTo = page.Records.back().Key;
     loadPage();
@@ -96,6 +99,9 @@
   NextOffset = *LoadEnd;
   Loaded = true;
   Loading = false;
+  const std::set<std::string> keys = std::exchange(LoadedKeys, {});
+  if (OnLoaded)
+    OnLoaded(keys);
   readNext();
 }
 
