--- a/packages/store/src/store_relay_test.cpp
+++ b/packages/store/src/store_relay_test.cpp
@@ -119,6 +119,38 @@
   BOOST_TEST(done(append(0)));
 }
 
+BOOST_AUTO_TEST_CASE(peer_that_is_refused_itself_is_not_chosen_again_soon) {
+  // Three of ten peers reach the store; the others answer that they do not.
+  std::map<std::uint16_t, int> calls;
+  RelayedStore relay(
+      Loop, Refused,
+      [&](const Endpoint &peer, const std::string &bytes, CallDeadline deadline,
+          const std::function<void(std::optional<std::string>)> &done) {
+        ++calls[peer.Port];
+        if (peer.Port > 3)
+          done(encode(StoreReply(StoreError(StoreBusy{0}))));
+        else
+          serveStoreCall(Served, bytes, deadline,
+                         [done](std::string reply) { done(std::move(reply)); });
+      },
+      RelayOptions{Millis(20), Millis(60), 3, Millis(30)});
+  for (std::uint16_t n = 10; n > 0; --n)
+    relay.setPeer("vm-" + std::to_string(10 - n), {"10.0.0.2", n});
+  Refused.Faults.Busy = true;
+  int appended = 0;
+  for (std::uint64_t n = 0; n < 40; ++n) {
+    relay.append(Jobs, {"vm-" + std::to_string(n), Epoch(1), 0}, {{"k", "v"}},
+                 monoNow() + Millis(80),
+                 [&](auto it) { appended += done(it); });
+    Loop.runUntil(monoNow() + Millis(3));
+  }
+  int refused = 0;
+  for (const auto &[port, n] : calls)
+    refused += port > 3 ? n : 0;
+  BOOST_TEST(appended >= 37);
+  BOOST_TEST(refused <= 14);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_call_is_refused) {
   std::optional<StoreReply> reply;
   serveStoreCall(Served, "nonsense", monoNow(),
