Ask whether the ownership lasts before each order

Cause: an owner that had been paused beyond its membership acted on the answers and timers that were due before it noticed: it renewed a lease and could stop runs.

Before: paused_owner_sends_nothing_after_its_membership_ran_out failed (9 calls instead of 8). After: it passes. Starts were fenced by the append before them.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -65,6 +65,9 @@
   void onJobChange(const WorkId &id);
   /// The jobs topic was applied to the registry up to `next`, exclusive.
   void onJobsReadUpTo(LogOffset next);
+  /// Whether the ownership still lasts, asked before each order. The process
+  /// may have been paused, and the end of the ownership not been reported yet.
+  std::function<bool()> MayAct;
   /// Called after it stepped down by itself: a newer epoch has written or sent
   /// orders, or the store refused a record.
   std::function<void()> OnFenced;
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -51,6 +51,9 @@
 class ServerLink {
 public:
   struct Events {
+    /// Whether the ownership still lasts, asked before each order and poll. If
+    /// not, the link tries again later: the ownership may be renewed.
+    std::function<bool()> MayAct;
     /// The planner's state changed, so that a round should run.
     std::function<void()> Changed;
     /// The server has accepted a higher fencing token.
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -85,6 +85,7 @@
     Log("store", "append_retry", "why=\"{}\"", why);
     Front.refuseUnsent();
   };
+  Controller.MayAct = [this] { return Election.isOwner(); };
   Controller.OnFenced = [this] {
     TakeOverTimer = Loop.at(monoNow() + TakeOverRetryDelay,
                             [this] { onOwnership(Election.isOwner()); });
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <sstream>
+#include <thread>
 
 using namespace citrongap;
 
@@ -524,6 +525,19 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(paused_owner_sends_nothing_after_its_membership_ran_out) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.running() == 1U);
+  const Epoch token = Fleet.at("i-1").Token;
+  const int before = Fleet.CallsByToken[token];
+  // The process does not run for longer than a membership lasts. Its timers
+  // and answers are all due when it runs on.
+  std::this_thread::sleep_for(Millis(200));
+  runFor(Millis(2));
+  BOOST_TEST(Fleet.CallsByToken[token] == before);
+}
+
 BOOST_AUTO_TEST_CASE(server_that_left_unseen_gets_no_new_runs) {
   // The owner does not read for a while, and the removal of the entry is no
   // longer among the retained records when it reads on.
--- a/packages/control/src/fake_fleet.cpp
+++ b/packages/control/src/fake_fleet.cpp
@@ -86,6 +86,7 @@
                       Epoch token, MonoTime deadline,
                       FleetCallback<OrderAcknowledged> done) {
   Server &it = Servers[order.Server.Id];
+  ++CallsByToken[token];
   if (it.Unreachable) {
     answer<OrderAcknowledged>(it, done, FleetError(OrderNotSent{}), deadline);
     return;
@@ -108,6 +109,7 @@
 void FakeFleet::stop(const Endpoint &, const StopOrder &order, Epoch token,
                      MonoTime deadline, FleetCallback<OrderAcknowledged> done) {
   Server &it = Servers[order.Server.Id];
+  ++CallsByToken[token];
   if (!it.Silent && token < it.Token) {
     answer<OrderAcknowledged>(it, done, FleetError(ServerFenced{}), deadline);
     return;
@@ -124,6 +126,7 @@
                      const PollRequest &request, Epoch token, MonoTime deadline,
                      FleetCallback<PollAnswer> done) {
   Server &it = Servers[incarnation.Id];
+  ++CallsByToken[token];
   if (it.Unreachable) {
     answer<PollAnswer>(it, done, FleetError(OrderNotSent{}), deadline);
     return;
--- a/packages/control/src/fake_fleet.h
+++ b/packages/control/src/fake_fleet.h
@@ -52,6 +52,8 @@
   std::size_t running() const;
   /// Server and task of the first run found; empty if nothing runs.
   std::pair<std::string, TaskName> anyRun() const;
+  /// Number of orders and polls that were sent under each token.
+  std::map<Epoch, int> CallsByToken;
   /// Polls are answered with this start time, as another incarnation would.
   std::optional<std::int64_t> ReportedStartMs;
 
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -115,6 +115,7 @@
 
 ServerLink::Events PodController::linkEvents() {
   ServerLink::Events events;
+  events.MayAct = [this] { return !MayAct || MayAct(); };
   events.Changed = [this] { scheduleRound(); };
   events.Fenced = [this](const ServerIncarnation &incarnation) {
     Log("owner", "fenced_by_server", "server={} epoch={}", incarnation.Id.str(),
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -101,7 +101,7 @@
   const MonoTime now = monoNow();
   // Each start requests a lease. Retries to an unreachable server would
   // postpone LatestLeaseEnd forever, and its runs would never be released.
-  if (FailedPolls >= Options.MaxFailedPolls) {
+  if (FailedPolls >= Options.MaxFailedPolls || !Notify.MayAct()) {
     it.RetryTimer =
         Loop.at(now + Options.RetryDelay, [this, task] { sendStart(task); });
     return;
@@ -175,6 +175,11 @@
   TrackedRun &it = found->second;
   if (it.StopInFlight || it.StopConfirmedAt)
     return;
+  if (!Notify.MayAct()) {
+    it.RetryTimer = Loop.at(monoNow() + Options.RetryDelay,
+                            [this, task] { sendStop(task); });
+    return;
+  }
   it.StopInFlight = true;
   Fleet.stop(Address, {task, it.Order.Run, Incarnation, it.StopReason}, Token,
              monoNow() + Options.AnswerTimeout,
@@ -225,9 +230,13 @@
 }
 
 void ServerLink::pollIfNeeded() {
-  if (!LongPollInFlight && !IncarnationEnded && Active && needsPoll() &&
-      !PollTimer.pending())
+  if (LongPollInFlight || IncarnationEnded || !Active || !needsPoll() ||
+      PollTimer.pending())
+    return;
+  if (Notify.MayAct())
     poll();
+  else
+    schedulePoll(Options.RetryDelay);
 }
 
 void ServerLink::schedulePoll(Millis wait) {
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -26,7 +26,8 @@
 }
 
 void ServerLink::requestLists() {
-  if (IncarnationEnded || !Active || !LongPollInFlight || FailedPolls > 0)
+  if (IncarnationEnded || !Active || !LongPollInFlight || FailedPolls > 0 ||
+      !Notify.MayAct())
     return;
   PollRequest request;
   request.AcknowledgedUpTo = RecordedUpTo;
