--- a/testing/capacity/src/capacity.cpp
+++ b/testing/capacity/src/capacity.cpp
@@ -24,6 +24,7 @@
   printFigure("resident memory of this program before any load",
               residentBytes(), "B");
   measureScheduler();
+  measurePlanner();
   measureConfigurationLog();
   measureClaimLedger();
   measureLeases();
--- a/testing/capacity/src/measure.h
+++ b/testing/capacity/src/measure.h
@@ -83,6 +83,7 @@
 }
 
 void measureScheduler();
+void measurePlanner();
 void measureConfigurationLog();
 void measureClaimLedger();
 void measureLeases();
