Decide alike requests of a round once

Cause: a round of the planner took time by servers times waiting jobs: each job that does not fit was tried on all servers again, each task was packed alone, and whether a request fits an empty pod was worked out anew for each job. All runs were checked for stalls in each round, and every link was copied.

Change: the outcomes of a round decide later requests that ask for no less or no more; tasks alike are packed together; stalls, departures and unlisted runs are checked every 100 ms, and at once when a report shows a stall.

Test of the load: a backlog of many jobs alike on a full pod (known_outcomes_agree_with_packing, tasks_packed_together_are_packed_as_one_by_one, random pods against packing one by one).

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -150,6 +150,7 @@
   bool Active = false;
   bool AppendInFlight = false;
   MonoTime TookOverAt;
+  MonoTime NextUnlistedCheck;
   Timer RoundTimer;
   Timer TickTimer;
   Timer CleanupTimer;
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -84,6 +84,7 @@
   /// Highest number of a received run end. It must be recorded before it is
   /// acknowledged.
   std::uint64_t receivedUpTo() const { return ReceivedUpTo; }
+  bool hasUnrecordedEnds() const { return RecordedUpTo < ReceivedUpTo; }
   /// The run ends up to `number` are recorded and may be acknowledged.
   void setRecordedUpTo(std::uint64_t number);
   bool reachable() const { return FailedPolls < Options.MaxFailedPolls; }
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -181,7 +181,10 @@
   if (!Active || AppendInFlight)
     return;
   dropMissingServers();
-  releaseUnlistedRuns();
+  if (monoNow() >= NextUnlistedCheck) {
+    NextUnlistedCheck = monoNow() + Options.TickInterval;
+    releaseUnlistedRuns();
+  }
   PlannedRound round = Planner->plan(monoNow(), toMillis(wallNow()));
   for (const StopOrder &it : round.Stops) {
     ++Metrics.StopsByReason[it.Reason];
@@ -195,7 +198,8 @@
 void PodController::recordRound(PlannedRound round) {
   std::map<ServerIncarnation, std::uint64_t> received;
   for (const auto &[incarnation, link] : Links)
-    received[incarnation] = link->receivedUpTo();
+    if (link->hasUnrecordedEnds())
+      received[incarnation] = link->receivedUpTo();
   std::vector<KeyedRecord> records;
   for (const WorkId &id : Planner->takeChangedWork()) {
     const PlannedWork &work = *Planner->find(id);
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -106,6 +106,8 @@
   Millis MaxStopTime{900};
   /// Expected ends are cached for this long; they change by percents only.
   Millis ReleasesMaxAge{250};
+  /// Interval of the checks of all runs for stalls and departures.
+  Millis SweepInterval{100};
   /// Gangs for which servers are reserved in one round.
   std::uint32_t MaxGangReservations = 16;
   /// A run that reports no progress for this long is restarted on another
@@ -245,20 +247,36 @@
                    std::uint32_t step, MonoTime now, std::int64_t wallMs,
                    std::vector<Unit> &out);
   std::vector<PackingServer> packingView(MonoTime now) const;
+  const StepSpec &specOf(const Unit &unit) const;
   void countTasksOfStep(const Unit &unit,
                         std::vector<PackingServer> &view) const;
   /// `view` shows whether servers without a recent failure could hold the unit
   /// when empty. `requireLocality` asks for the data rack or a single rack.
   PackingRequest requestOf(const Unit &unit,
                            const std::vector<PackingServer> &view,
-                           bool requireLocality) const;
+                           bool requireLocality);
   /// Failed attempts of the gang, or the most of any of the unit's tasks.
   std::uint32_t failedAttempts(const Unit &unit) const;
   /// Places the tasks of a step one by one; true when all were placed.
   bool placeEach(const Unit &unit, std::vector<PackingServer> &view,
                  MonoTime now, PlannedRound &round);
+  /// Places tasks that were never started and have no limit per server, all at
+  /// once; returns those that do not fit under the step's locality.
+  std::vector<std::uint32_t> placeAlike(const Unit &unit,
+                                        std::vector<PackingServer> &view,
+                                        MonoTime now, PlannedRound &round);
   bool place(const Unit &unit, std::vector<PackingServer> &view, MonoTime now,
              PlannedRound &round);
+  /// packTasks(), unless a request that failed in this round covers this one.
+  std::optional<std::vector<std::size_t>>
+  tryPack(std::vector<PackingServer> &view, const PackingRequest &request);
+  /// fitsWhenEmpty(), computed once a round for requests alike.
+  bool wouldFitEmpty(const std::vector<PackingServer> &view,
+                     const PackingRequest &request);
+  /// Starts the unit's tasks at these places and takes up their room.
+  void startAt(const Unit &unit, const std::vector<std::size_t> &at, bool local,
+               std::vector<PackingServer> &view, MonoTime now,
+               PlannedRound &round);
   void start(const Unit &unit, const std::vector<PackingServer> &view,
              const std::vector<std::size_t> &at, bool local, MonoTime now,
              PlannedRound &round);
@@ -306,6 +324,13 @@
   /// Times and accelerators of the requests of priority 0 within
   /// `ArrivalWindow`.
   std::vector<std::pair<MonoTime, std::int64_t>> UrgentArrivals;
+  /// Of the round in progress: requests that did not fit, and whether requests
+  /// would fit if all servers were empty.
+  PackingOutcomes RoundOutcomes;
+  PackingOutcomes EmptyOutcomes;
+  /// When all runs were last checked for stalls and departures; reset when a
+  /// report shows a stall.
+  MonoTime SweptAt;
   /// Keyed by queue only, across accounts.
   RunTimeEstimator RunTimes;
   Releases ExpectedReleases;
--- a/packages/workload/include/citrongap/workload/vector_packing.h
+++ b/packages/workload/include/citrongap/workload/vector_packing.h
@@ -68,6 +68,29 @@
 std::optional<std::vector<std::size_t>>
 packTasks(std::vector<PackingServer> &servers, const PackingRequest &request);
 
+/// Like packTasks(), but places as many of the tasks as fit, on at most one
+/// server in quarantine.
+std::vector<std::size_t> packAsMany(std::vector<PackingServer> &servers,
+                                    const PackingRequest &request);
+
+/// Outcomes of earlier requests on the same servers that decide later ones: a
+/// request that asks for no less than one that did not fit, under no weaker
+/// constraints, does not fit either. Requests with a limit per server are left
+/// out, as their outcome depends on the step.
+class PackingOutcomes {
+public:
+  void add(const PackingRequest &request, bool fits);
+  /// The outcome if an earlier one decides it.
+  std::optional<bool> find(const PackingRequest &request) const;
+  /// Forgets requests that fitted: the servers have less room or take fewer
+  /// requests now.
+  void forgetFits() { Fits.clear(); }
+
+private:
+  std::vector<PackingRequest> Failures;
+  std::vector<PackingRequest> Fits;
+};
+
 /// Whether the request would fit if all servers were empty.
 bool fitsWhenEmpty(const std::vector<PackingServer> &servers,
                    const PackingRequest &request);
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -159,8 +159,11 @@
     return;
   recordStart(task, run, server, now);
   record->ListedAt = now;
-  if (percent == record->Percent)
+  if (percent == record->Percent) {
+    if (!record->StopRequested && isStalled(*record, specOf(task), now))
+      SweptAt = MonoTime();
     return;
+  }
   record->Percent = percent;
   record->ProgressAt = now;
   // A faulty server fails its runs sooner than this.
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -116,19 +116,16 @@
   std::map<RackId, std::int64_t> freeInRack;
   for (const PackingServer &it : view)
     freeInRack[it.Rack] += it.Free.GpuCount;
-  std::vector<PackingServer *> order;
+  using Key =
+      std::tuple<std::int64_t, std::int64_t, const RackId &, std::size_t>;
+  std::vector<Key> order;
   order.reserve(view.size());
-  for (PackingServer &it : view)
-    order.push_back(&it);
-  const auto usedGpus = [](const PackingServer &it) {
-    return it.Capacity.GpuCount - it.Free.GpuCount;
-  };
-  std::stable_sort(
-      order.begin(), order.end(),
-      [&](const PackingServer *lhs, const PackingServer *rhs) {
-        return std::tuple(usedGpus(*lhs), -freeInRack[lhs->Rack], lhs->Rack) <
-               std::tuple(usedGpus(*rhs), -freeInRack[rhs->Rack], rhs->Rack);
-      });
+  for (std::size_t at = 0; at < view.size(); ++at) {
+    const PackingServer &it = view[at];
+    const auto rack = freeInRack.find(it.Rack);
+    order.emplace_back(it.Capacity.GpuCount - it.Free.GpuCount, -rack->second,
+                       rack->first, at);
+  }
   const auto servers = [&](double share) {
     return std::min(
         order.size(),
@@ -137,8 +134,15 @@
   const std::size_t exclusive = servers(expectedArrivalShare(view, now));
   const std::size_t all =
       std::max(exclusive, servers(Options.UrgentReserveShare));
+  std::vector<const Key *> first;
+  first.reserve(order.size());
+  for (const Key &it : order)
+    first.push_back(&it);
+  std::partial_sort(
+      first.begin(), first.begin() + static_cast<std::ptrdiff_t>(all),
+      first.end(), [](const Key *lhs, const Key *rhs) { return *lhs < *rhs; });
   for (std::size_t n = 0; n < all; ++n)
-    order[n]->ReservedFor =
+    view[std::get<std::size_t>(*first[n])].ReservedFor =
         n < exclusive ? AccessLevel::Urgent : AccessLevel::LongWaiting;
 }
 
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -124,8 +124,15 @@
   return view;
 }
 
+const StepSpec &PodPlanner::specOf(const Unit &unit) const {
+  return Works.at(unit.Work).Spec.Steps[unit.Step];
+}
+
 void PodPlanner::countTasksOfStep(const Unit &unit,
                                   std::vector<PackingServer> &view) const {
+  // Only limits per server depend on the counts.
+  if (specOf(unit).MaxPerServer == 0)
+    return;
   std::map<BackendServerId, std::uint32_t> counts;
   const auto &tasks = Works.at(unit.Work)
                           .Record.Occurrences[unit.Occurrence]
@@ -153,7 +160,7 @@
 
 PackingRequest PodPlanner::requestOf(const Unit &unit,
                                      const std::vector<PackingServer> &view,
-                                     bool requireLocality) const {
+                                     bool requireLocality) {
   const PlannedWork &work = Works.at(unit.Work);
   const StepSpec &spec = work.Spec.Steps[unit.Step];
   PackingRequest request;
@@ -185,7 +192,7 @@
   request.ExcludeRecentFailures = last;
   request.RequireRecentSuccess = last && failures > 0 && mayWait;
   if (last && !mayWait)
-    request.ExcludeRecentFailures = fitsWhenEmpty(view, request);
+    request.ExcludeRecentFailures = wouldFitEmpty(view, request);
   return request;
 }
 
@@ -194,7 +201,7 @@
   const StepSpec &spec = Works.at(unit.Work).Spec.Steps[unit.Step];
   const PackingRequest local = requestOf(unit, view, true);
   const bool hasLocality = local.OneRack || !local.Rack.empty();
-  auto found = packTasks(view, local);
+  auto found = tryPack(view, local);
   const bool isLocal = found.has_value();
   if (!found && hasLocality) {
     const Millis expected = expectedRunTime(Works.at(unit.Work), spec);
@@ -202,24 +209,81 @@
         static_cast<double>(expected.count()) * (Options.RemoteSlowdown - 1)));
     const Millis maxWait =
         std::clamp(breakEven, Options.MinLocalityWait, Options.MaxLocalityWait);
-    if (now - unit.WaitingSince >= maxWait || !fitsWhenEmpty(view, local))
-      found = packTasks(view, requestOf(unit, view, false));
+    if (now - unit.WaitingSince >= maxWait || !wouldFitEmpty(view, local))
+      found = tryPack(view, requestOf(unit, view, false));
   }
   if (!found)
     return false;
-  allocate(view, *found, local.PerTask);
-  start(unit, view, *found, isLocal, now, round);
-  for (const std::size_t at : *found)
-    if (view[at].ProbeOnly)
-      view[at].Free = {};
+  startAt(unit, *found, isLocal, view, now, round);
   return true;
 }
 
+std::optional<std::vector<std::size_t>>
+PodPlanner::tryPack(std::vector<PackingServer> &view,
+                    const PackingRequest &request) {
+  if (RoundOutcomes.find(request) == false)
+    return std::nullopt;
+  auto found = packTasks(view, request);
+  // What fits now takes room from the next request.
+  if (!found)
+    RoundOutcomes.add(request, false);
+  return found;
+}
+
+bool PodPlanner::wouldFitEmpty(const std::vector<PackingServer> &view,
+                               const PackingRequest &request) {
+  const auto known = EmptyOutcomes.find(request);
+  if (known)
+    return *known;
+  const bool fits = fitsWhenEmpty(view, request);
+  EmptyOutcomes.add(request, fits);
+  return fits;
+}
+
+void PodPlanner::startAt(const Unit &unit, const std::vector<std::size_t> &at,
+                         bool local, std::vector<PackingServer> &view,
+                         MonoTime now, PlannedRound &round) {
+  allocate(view, at, specOf(unit).allocation());
+  start(unit, view, at, local, now, round);
+  for (const std::size_t it : at)
+    if (view[it].ProbeOnly)
+      view[it].Free = {};
+}
+
+std::vector<std::uint32_t>
+PodPlanner::placeAlike(const Unit &unit, std::vector<PackingServer> &view,
+                       MonoTime now, PlannedRound &round) {
+  std::vector<std::uint32_t> left = unit.Indices;
+  while (!left.empty()) {
+    Unit alike = unit;
+    alike.Indices = {left.front()};
+    PackingRequest request = requestOf(alike, view, true);
+    if (RoundOutcomes.find(request) == false)
+      break;
+    request.Count = static_cast<std::uint32_t>(left.size());
+    const std::vector<std::size_t> found = packAsMany(view, request);
+    if (found.empty())
+      break;
+    const auto end = left.begin() + static_cast<std::ptrdiff_t>(found.size());
+    alike.Indices.assign(left.begin(), end);
+    left.erase(left.begin(), end);
+    startAt(alike, found, true, view, now, round);
+  }
+  return left;
+}
+
 bool PodPlanner::placeEach(const Unit &unit, std::vector<PackingServer> &view,
                            MonoTime now, PlannedRound &round) {
+  const auto &tasks =
+      Works.at(unit.Work).Record.Occurrences[unit.Occurrence].Steps[unit.Step];
+  const bool alike =
+      specOf(unit).MaxPerServer == 0 &&
+      std::all_of(unit.Indices.begin(), unit.Indices.end(),
+                  [&](std::uint32_t it) { return tasks.Tasks[it].Run == 0; });
   Unit one = unit;
   bool all = true;
-  for (const std::uint32_t it : unit.Indices) {
+  for (const std::uint32_t it :
+       alike ? placeAlike(unit, view, now, round) : unit.Indices) {
     one.Indices = {it};
     const bool placed = place(one, view, now, round);
     all = all && placed;
@@ -275,15 +339,22 @@
   std::erase_if(UrgentArrivals, [&](const auto &it) {
     return now - it.first >= Options.ArrivalWindow;
   });
-  stopStalledRuns(now);
-  evictFromDraining(now);
+  RoundOutcomes = {};
+  EmptyOutcomes = {};
+  if (now - SweptAt >= Options.SweepInterval) {
+    SweptAt = now;
+    stopStalledRuns(now);
+    evictFromDraining(now);
+  }
   std::vector<Unit> units = collectWaiting(now, wallMs);
   std::vector<PackingServer> view = packingView(now);
   std::uint32_t reservations = 0;
   bool reserved = false;
   for (Unit &unit : units) {
-    if (unit.Rank > UrgentRank && !std::exchange(reserved, true))
+    if (unit.Rank > UrgentRank && !std::exchange(reserved, true)) {
       reserveForUrgent(view, now);
+      EmptyOutcomes.forgetFits();
+    }
     countTasksOfStep(unit, view);
     if (unit.Gang ? place(unit, view, now, round)
                   : placeEach(unit, view, now, round))
--- a/packages/workload/src/vector_packing.cpp
+++ b/packages/workload/src/vector_packing.cpp
@@ -34,40 +34,70 @@
                     freeShareAfter(server, request.PerTask));
 }
 
-/// Places tasks one by one on the best of `eligible`; `servers` is restored on
-/// return.
-Placement packGreedily(std::vector<PackingServer> &servers,
-                       const std::vector<std::size_t> &eligible,
-                       const PackingRequest &request) {
+bool hasRoom(const PackingServer &server, const PackingRequest &request) {
+  return request.PerTask.fitsIn(server.Free) &&
+         (!request.MaxPerServer || server.TasksOfStep < request.MaxPerServer);
+}
+
+/// Places tasks one by one on the best of `eligible`, as many as fit; `servers`
+/// is restored on return.
+std::vector<std::size_t> packGreedily(std::vector<PackingServer> &servers,
+                                      const std::vector<std::size_t> &eligible,
+                                      const PackingRequest &request) {
   std::vector<std::size_t> chosen;
-  for (std::uint32_t n = 0; n < request.Count; ++n) {
-    const PackingServer *best = nullptr;
-    std::size_t bestAt = 0;
+  while (chosen.size() < request.Count) {
+    std::optional<std::size_t> best;
+    decltype(fitKey(servers.front(), request)) bestKey;
     for (const std::size_t at : eligible) {
-      const PackingServer &it = servers[at];
-      if (!request.PerTask.fitsIn(it.Free) ||
-          (request.MaxPerServer && it.TasksOfStep >= request.MaxPerServer))
+      if (!hasRoom(servers[at], request))
         continue;
-      if (!best || fitKey(it, request) < fitKey(*best, request)) {
-        best = &it;
-        bestAt = at;
-      }
+      const auto key = fitKey(servers[at], request);
+      if (best && !(key < bestKey))
+        continue;
+      best = at;
+      bestKey = key;
     }
     if (!best)
       break;
-    servers[bestAt].Free -= request.PerTask;
-    ++servers[bestAt].TasksOfStep;
-    chosen.push_back(bestAt);
+    // With each task the server becomes tighter, so it stays the best until it
+    // is full. A probe is one task.
+    PackingServer &server = servers[*best];
+    do {
+      server.Free -= request.PerTask;
+      ++server.TasksOfStep;
+      chosen.push_back(*best);
+    } while (chosen.size() < request.Count && !server.ProbeOnly &&
+             hasRoom(server, request));
+    if (server.ProbeOnly)
+      break;
   }
   for (const std::size_t at : chosen) {
     servers[at].Free += request.PerTask;
     --servers[at].TasksOfStep;
   }
+  return chosen;
+}
+
+/// The places of all tasks of the request, or nothing.
+Placement packAll(std::vector<PackingServer> &servers,
+                  const std::vector<std::size_t> &eligible,
+                  const PackingRequest &request) {
+  std::vector<std::size_t> chosen = packGreedily(servers, eligible, request);
   if (chosen.size() < request.Count)
     return std::nullopt;
   return chosen;
 }
 
+std::vector<std::size_t>
+eligibleServers(const std::vector<PackingServer> &servers,
+                const PackingRequest &request) {
+  std::vector<std::size_t> eligible;
+  for (std::size_t at = 0; at < servers.size(); ++at)
+    if (isEligible(servers[at], request))
+      eligible.push_back(at);
+  return eligible;
+}
+
 std::map<RackId, std::vector<std::size_t>>
 byRack(const std::vector<PackingServer> &servers,
        const PackingRequest &request) {
@@ -90,7 +120,7 @@
       left += servers[at].Free.GpuCount;
     if (left < request.PerTask.GpuCount * request.Count)
       continue;
-    Placement found = packGreedily(servers, eligible, request);
+    Placement found = packAll(servers, eligible, request);
     if (!found)
       continue;
     const auto last =
@@ -106,6 +136,19 @@
   return best;
 }
 
+/// Any servers that hold `request` hold `other`, too.
+bool isNoEasier(const PackingRequest &request, const PackingRequest &other) {
+  return other.Service == request.Service && other.Count <= request.Count &&
+         other.PerTask.fitsIn(request.PerTask) &&
+         other.Access >= request.Access &&
+         (other.RequiredLabel.empty() ||
+          other.RequiredLabel == request.RequiredLabel) &&
+         (other.Rack.empty() || other.Rack == request.Rack) &&
+         (!other.OneRack || request.OneRack) &&
+         (!other.ExcludeRecentFailures || request.ExcludeRecentFailures) &&
+         (!other.RequireRecentSuccess || request.RequireRecentSuccess);
+}
+
 } // namespace
 
 bool isEligible(const PackingServer &server, const PackingRequest &request) {
@@ -127,11 +170,32 @@
                     const PackingRequest &request) {
   if (request.OneRack)
     return packInOneRack(servers, request);
-  std::vector<std::size_t> eligible;
-  for (std::size_t at = 0; at < servers.size(); ++at)
-    if (isEligible(servers[at], request))
-      eligible.push_back(at);
-  return packGreedily(servers, eligible, request);
+  return packAll(servers, eligibleServers(servers, request), request);
+}
+
+std::vector<std::size_t> packAsMany(std::vector<PackingServer> &servers,
+                                    const PackingRequest &request) {
+  // Each task is placed for itself, so servers in quarantine are eligible.
+  PackingRequest one = request;
+  one.Count = 1;
+  return packGreedily(servers, eligibleServers(servers, one), request);
+}
+
+void PackingOutcomes::add(const PackingRequest &request, bool fits) {
+  if (!request.MaxPerServer && !find(request))
+    (fits ? Fits : Failures).push_back(request);
+}
+
+std::optional<bool> PackingOutcomes::find(const PackingRequest &request) const {
+  if (request.MaxPerServer)
+    return std::nullopt;
+  if (std::any_of(Failures.begin(), Failures.end(),
+                  [&](const auto &it) { return isNoEasier(request, it); }))
+    return false;
+  if (std::any_of(Fits.begin(), Fits.end(),
+                  [&](const auto &it) { return isNoEasier(it, request); }))
+    return true;
+  return std::nullopt;
 }
 
 bool fitsWhenEmpty(const std::vector<PackingServer> &servers,
--- a/packages/workload/src/vector_packing_test.cpp
+++ b/packages/workload/src/vector_packing_test.cpp
@@ -1,7 +1,10 @@
 // Best-fit placement, gangs within one rack, and limits per server.
 #include "citrongap/workload/vector_packing.h"
 
+#include "citrongap/base/random.h"
+
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 using namespace citrongap;
 
@@ -24,8 +27,106 @@
   return out;
 }
 
+std::int64_t pick(Random &random, std::int64_t low, std::int64_t high) {
+  return low + static_cast<std::int64_t>(
+                   random.between(0, static_cast<std::uint64_t>(high - low)));
+}
+
+std::vector<PackingServer> randomServers(Random &random) {
+  std::vector<PackingServer> out;
+  const auto n = random.between(1, 12);
+  for (std::uint64_t at = 0; at < n; ++at) {
+    PackingServer it =
+        server(fmt::format("s{}", at), fmt::format("r{}", at / 4),
+               {pick(random, 0, 128) * 1000, pick(random, 0, 512) * 1000,
+                pick(random, 0, 8)});
+    it.ProbeOnly = random.between(0, 5) == 0;
+    it.FailedRecently = random.between(0, 3) == 0;
+    it.SucceededRecently = random.between(0, 1) == 0;
+    it.ReservedFor = static_cast<AccessLevel>(random.between(0, 2));
+    out.push_back(it);
+  }
+  return out;
+}
+
+PackingRequest randomRequest(Random &random) {
+  PackingRequest out = request({pick(random, 1, 4) * 13000,
+                                pick(random, 1, 4) * 30000, pick(random, 0, 8)},
+                               static_cast<std::uint32_t>(pick(random, 1, 6)));
+  out.OneRack = random.between(0, 1) == 0;
+  if (random.between(0, 3) == 0)
+    out.Rack = RackId(fmt::format("r{}", random.between(0, 3)));
+  if (random.between(0, 3) == 0)
+    out.RequiredLabel = "a";
+  out.Access = static_cast<AccessLevel>(random.between(0, 2));
+  out.ExcludeRecentFailures = random.between(0, 3) == 0;
+  out.RequireRecentSuccess = random.between(0, 3) == 0;
+  return out;
+}
+
 } // namespace
 
+// A backlog of many jobs alike on a full pod: each round asks the same again.
+BOOST_AUTO_TEST_CASE(known_outcomes_agree_with_packing) {
+  Random random(1);
+  std::size_t known = 0;
+  for (int pod = 0; pod < 200; ++pod) {
+    std::vector<PackingServer> servers = randomServers(random);
+    PackingOutcomes outcomes;
+    for (int n = 0; n < 60; ++n) {
+      const PackingRequest asked = randomRequest(random);
+      const auto expected = outcomes.find(asked);
+      const auto found = packTasks(servers, asked);
+      if (expected) {
+        ++known;
+        BOOST_TEST(*expected == found.has_value());
+      }
+      outcomes.add(asked, found.has_value());
+      if (found && random.between(0, 4) == 0) {
+        allocate(servers, *found, asked.PerTask);
+        outcomes.forgetFits();
+      }
+    }
+  }
+  BOOST_TEST(known > 2000U);
+}
+
+BOOST_AUTO_TEST_CASE(tasks_packed_together_are_packed_as_one_by_one) {
+  Random random(2);
+  for (int pod = 0; pod < 500; ++pod) {
+    std::vector<PackingServer> servers = randomServers(random);
+    PackingRequest asked = randomRequest(random);
+    asked.OneRack = false;
+    asked.Count = static_cast<std::uint32_t>(pick(random, 1, 20));
+    std::vector<PackingServer> left = servers;
+    PackingRequest one = asked;
+    one.Count = 1;
+    std::vector<std::size_t> expected;
+    while (expected.size() < asked.Count) {
+      const auto found = packTasks(left, one);
+      if (!found)
+        break;
+      allocate(left, *found, one.PerTask);
+      if (left[found->front()].ProbeOnly)
+        left[found->front()].Free = {};
+      expected.push_back(found->front());
+    }
+    std::vector<std::size_t> together;
+    while (together.size() < asked.Count) {
+      one.Count = asked.Count - static_cast<std::uint32_t>(together.size());
+      const auto found = packAsMany(servers, one);
+      if (found.empty())
+        break;
+      allocate(servers, found, one.PerTask);
+      for (const std::size_t at : found)
+        if (servers[at].ProbeOnly)
+          servers[at].Free = {};
+      together.insert(together.end(), found.begin(), found.end());
+    }
+    BOOST_TEST(together == expected);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(one_accelerator_task_fills_the_partly_used_server_first) {
   std::vector<PackingServer> servers{
       server("empty", "r1"), server("started", "r1", {100000, 400000, 3})};
