--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -98,7 +98,8 @@
       out.Front.MaxReadAge = Millis(200);
       out.Front.MaxConfigurationAge = Millis(400);
       out.Front.AnswerMargin = Millis(20);
-      out.Election = {Millis(150), Millis(30), Millis(40), Millis(10)};
+      out.Election = {Millis(150), Millis(30), Millis(40), Millis(10),
+                      false,       Millis(20), Millis(5)};
       out.Appender.AnswerTimeout = Millis(40);
       out.Appender.RetryDelay = Millis(10);
       out.Controller.Appender = out.Appender;
--- a/packages/store/include/citrongap/store/memory_store.h
+++ b/packages/store/include/citrongap/store/memory_store.h
@@ -50,6 +50,8 @@
   void rebalance();
   /// Rate at which all clients together read latest values; zero: unlimited.
   std::size_t ReadBytesPerSecond = 0;
+  /// The topic moves to another member with each change of the group.
+  bool DealsAnew = false;
   /// Most records of a page of latest values.
   std::size_t LatestPageRecords = 3;
   /// Number of appends that reached the store.
--- a/packages/store/include/citrongap/store/owner_election.h
+++ b/packages/store/include/citrongap/store/owner_election.h
@@ -1,10 +1,12 @@
-// Keeps this node a member of the group that owns a topic and reports when it
-// becomes or ceases to be the owner. A member counts as owner only while its
-// last join is recent enough that the store cannot have given the topic to
-// another member.
+// Joins the group that owns a topic while the topic has no owner, keeps the
+// membership, and reports when this node becomes or ceases to be the owner. The
+// store may move the topic with each change of the group, so a node does not
+// join beside an owner. A member counts as owner only while its last join is
+// recent enough that the store cannot have given the topic to another member.
 #ifndef CITRONGAP_STORE_OWNER_ELECTION_H
 #define CITRONGAP_STORE_OWNER_ELECTION_H
 
+#include "citrongap/base/random.h"
 #include "citrongap/net/event_loop.h"
 #include "citrongap/store/store_port.h"
 
@@ -27,11 +29,14 @@
   Millis AnswerTimeout{600};
   /// Delay after a failed join; several retries fit into the session timeout.
   Millis RetryDelay{150};
-  /// Joins only after two consecutive checks found no owner; for a small VM.
+  /// For a small VM: the checks before a join are both `OwnerCheckInterval`
+  /// apart, so that others join first.
   bool Standby = false;
-  /// Time between a standby's checks; two checks take longer than a session
-  /// lasts.
-  Millis OwnerCheckInterval{2000};
+  /// Time between the checks of a node that is not a member.
+  Millis OwnerCheckInterval{250};
+  /// A check that finds no owner is repeated after a random time up to this, so
+  /// that few nodes join at once.
+  Millis JoinSpread{100};
 };
 
 /// Membership of one member in one group, for one topic.
@@ -41,7 +46,7 @@
   OwnerElection(EventLoop &loop, StorePort &store, std::string group,
                 std::string member, TopicId topic, ElectionOptions options);
 
-  /// Begins to join or, as standby, to check the owner. Later calls do nothing.
+  /// Begins to check the owner. Later calls do nothing.
   void start();
   /// Leaves the group for good, so that another member can take over at once.
   void leave();
@@ -59,6 +64,7 @@
 
 private:
   void checkOwner();
+  void scheduleCheck(Millis wait);
   void onOwnerChecked(StoreResult<TopicOwner> result);
   void join();
   void onMembership(MonoTime sentAt, StoreResult<GroupMembership> result);
@@ -83,6 +89,7 @@
   std::uint64_t OwnershipsInGeneration = 0;
   /// Consecutive owner checks that found no owner.
   int ChecksWithoutOwner = 0;
+  Random Spread{Random::fromDevice()};
   /// Starts the next join or owner check.
   Timer PollTimer;
   /// Reports the end of the ownership when the session expires.
--- a/packages/store/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -98,8 +98,12 @@
   auto it = std::find_if(Members.begin(), Members.end(),
                          [&](const Member &n) { return n.Name == member; });
   if (it == Members.end()) {
-    it = Members.insert(Members.end(), {member, {}});
+    Members.push_back({member, {}});
     Generation = Generation.next();
+    if (DealsAnew)
+      std::rotate(Members.begin(), Members.begin() + 1, Members.end());
+    it = std::find_if(Members.begin(), Members.end(),
+                      [&](const Member &n) { return n.Name == member; });
   }
   it->ExpiresAt = monoNow() + sessionTimeout;
   return {Generation, Members.front().Name == member};
--- a/packages/store/src/owner_election.cpp
+++ b/packages/store/src/owner_election.cpp
@@ -15,10 +15,13 @@
   if (Left || std::exchange(Started, true))
     return;
   if (Options.Standby)
-    PollTimer = Loop.at(monoNow() + Options.OwnerCheckInterval,
-                        [this] { checkOwner(); });
+    scheduleCheck(Options.OwnerCheckInterval);
   else
-    join();
+    checkOwner();
+}
+
+void OwnerElection::scheduleCheck(Millis wait) {
+  PollTimer = Loop.at(monoNow() + wait, [this] { checkOwner(); });
 }
 
 void OwnerElection::checkOwner() {
@@ -32,14 +35,20 @@
 }
 
 void OwnerElection::onOwnerChecked(StoreResult<TopicOwner> result) {
+  if (Left)
+    return;
   const auto *owner = std::get_if<TopicOwner>(&result);
   if (owner)
     ChecksWithoutOwner = owner->Member.empty() ? ChecksWithoutOwner + 1 : 0;
-  if (ChecksWithoutOwner > 1)
+  if (ChecksWithoutOwner > 1) {
     join();
-  else
-    PollTimer = Loop.at(monoNow() + Options.OwnerCheckInterval,
-                        [this] { checkOwner(); });
+  } else if (ChecksWithoutOwner == 1 && !Options.Standby) {
+    const auto longest = static_cast<std::uint64_t>(Options.JoinSpread.count());
+    scheduleCheck(
+        Millis(static_cast<std::int64_t>(Spread.between(0, longest))));
+  } else {
+    scheduleCheck(Options.OwnerCheckInterval);
+  }
 }
 
 bool OwnerElection::isOwner() const {
--- a/packages/store/src/owner_election_test.cpp
+++ b/packages/store/src/owner_election_test.cpp
@@ -11,7 +11,8 @@
 
 const TopicId Jobs("keyed.jobs");
 constexpr ElectionOptions QuickOptions{Millis(100), Millis(20), Millis(30),
-                                       Millis(5),   false,      Millis(20)};
+                                       Millis(5),   false,      Millis(20),
+                                       Millis(5)};
 
 struct Fixture {
   EventLoop Loop;
@@ -54,6 +55,27 @@
   BOOST_TEST(changes == 2);
 }
 
+// A store that deals a topic anew with each change of the group, and entry VMs
+// that are restarted one after the other.
+BOOST_AUTO_TEST_CASE(owner_stays_while_others_come_and_go) {
+  Store.DealsAnew = true;
+  int changes = 0;
+  First.OnChange = [&](bool) { ++changes; };
+  First.start();
+  runFor(Millis(40));
+  BOOST_REQUIRE(First.isOwner());
+  for (int n = 0; n < 4; ++n) {
+    OwnerElection restarted(Loop, SecondView, "owners",
+                            "vm-" + std::to_string(n + 3), Jobs, QuickOptions);
+    restarted.start();
+    runFor(Millis(50));
+    restarted.leave();
+    runFor(Millis(10));
+  }
+  BOOST_TEST(First.isOwner());
+  BOOST_TEST(changes == 1);
+}
+
 BOOST_AUTO_TEST_CASE(standby_member_joins_only_when_the_topic_has_no_owner) {
   ElectionOptions options = QuickOptions;
   options.Standby = true;
