Do not rejoin the group beside a new owner after a cut

Cause: a member whose membership had expired went on joining.

Before: member_that_was_cut_off_does_not_take_the_topic_back failed. After: it passes.

--- a/packages/store/src/owner_election.cpp
+++ b/packages/store/src/owner_election.cpp
@@ -92,8 +92,13 @@
     // so that join is made early.
     const Millis wait = changed ? Options.RetryDelay : Options.JoinInterval;
     PollTimer = Loop.at(monoNow() + wait, [this] { join(); });
-  } else {
+  } else if (monoNow() < LastJoinSentAt + Options.SessionTimeout) {
     PollTimer = Loop.at(monoNow() + Options.RetryDelay, [this] { join(); });
+  } else {
+    // The membership has expired. Another node may own the topic by now.
+    Assigned = false;
+    ChecksWithoutOwner = 0;
+    scheduleCheck(Options.RetryDelay);
   }
   SessionTimer = Loop.at(LastJoinSentAt + Options.SessionTimeout,
                          [this] { reportChange(); });
--- a/packages/store/src/owner_election_test.cpp
+++ b/packages/store/src/owner_election_test.cpp
@@ -76,6 +76,22 @@
   BOOST_TEST(changes == 1);
 }
 
+BOOST_AUTO_TEST_CASE(member_that_was_cut_off_does_not_take_the_topic_back) {
+  Store.DealsAnew = true;
+  int changes = 0;
+  Second.OnChange = [&](bool) { ++changes; };
+  First.start();
+  runFor(Millis(40));
+  Second.start();
+  FirstView.Faults.Busy = true;
+  runFor(Millis(250));
+  BOOST_REQUIRE(Second.isOwner());
+  FirstView.Faults.Busy = false;
+  runFor(Millis(100));
+  BOOST_TEST(Second.isOwner());
+  BOOST_TEST(changes == 1);
+}
+
 BOOST_AUTO_TEST_CASE(standby_member_joins_only_when_the_topic_has_no_owner) {
   ElectionOptions options = QuickOptions;
   options.Standby = true;
