Do not stop runs on a cut-off server for want of progress

Cause: a run without a report for 5 s counted as stalled, also when its server could not be reached.

Change: without reports, a run is not stalled. Its leases decide.

Before: run_on_a_server_that_is_cut_off_is_not_stalled failed. After: it passes.

--- a/packages/base/include/citrongap/base/event_log.h
+++ b/packages/base/include/citrongap/base/event_log.h
@@ -1,7 +1,7 @@
 // Structured log on standard output, one line of "key=value" pairs per event.
 // The rate is bounded and writes never block: lines beyond the rate, or that
-// the pipe does not accept at once, are dropped and counted. Lines over PIPE_BUF
-// bytes are cut, and control characters in them are replaced.
+// the pipe does not accept at once, are dropped and counted. Lines over
+// PIPE_BUF bytes are cut, and control characters in them are replaced.
 #ifndef CITRONGAP_BASE_EVENT_LOG_H
 #define CITRONGAP_BASE_EVENT_LOG_H
 
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -173,8 +173,11 @@
   constexpr std::uint32_t MaxDoublings = 8;
   const std::uint32_t times = 1U << std::min(task.StallStops, MaxDoublings);
   const Millis onePercent(spec.EstimateMs * 3 / 100);
-  return now - task.ProgressAt >
-             std::max(Options.StallTimeout, onePercent) * times ||
+  // Silence of a server that is cut off tells nothing of its runs.
+  const ServerSlot *slot = Servers.find(task.Server.Id);
+  const bool reports = slot && slot->Reachable;
+  return (reports && now - task.ProgressAt >
+                         std::max(Options.StallTimeout, onePercent) * times) ||
          task.ListedAt - task.ProgressAt >
              std::max(Options.ReportedStallTimeout, onePercent) * times;
 }
--- a/packages/workload/src/pod_planner_test.cpp
+++ b/packages/workload/src/pod_planner_test.cpp
@@ -340,6 +340,24 @@
   BOOST_TEST(plan().Stops.empty());
 }
 
+BOOST_AUTO_TEST_CASE(run_on_a_server_that_is_cut_off_is_not_stalled) {
+  addServers(2);
+  submit(job("long", 1, 8, false));
+  const PlannedRound round = plan();
+  confirm(round);
+  BOOST_REQUIRE(round.Starts.size() == 1U);
+  const StartOrder &run = round.Starts[0];
+  Now += Millis(1000);
+  Planner.recordProgress(run.Task, run.Run, run.Server, 10, Now);
+  Planner.setReachable(run.Server.Id, false);
+  for (int n = 0; n < 10; ++n)
+    BOOST_TEST(planAfter(Millis(1000)).Stops.empty());
+  // It has gone on all the while.
+  Planner.setReachable(run.Server.Id, true);
+  Planner.recordProgress(run.Task, run.Run, run.Server, 90, Now);
+  BOOST_TEST(planAfter(Millis(200)).Stops.empty());
+}
+
 BOOST_AUTO_TEST_CASE(backlog_of_a_take_over_does_not_count_as_new_arrivals) {
   // Urgent jobs that no server can run: only their arrival matters.
   const auto startsBeside = [](Millis age) {
