--- a/packages/daemon/src/ledger_claims.cpp
+++ b/packages/daemon/src/ledger_claims.cpp
@@ -112,9 +112,8 @@
                   onLost(job, it.By, circumstances.Fenced, callback);
                 },
                 [&](const ClaimNotMade &it) {
-                  if (retakePodIfLost())
-                    callback(ClaimDeferred{it.Reason});
-                  else if (fresh)
+                  const bool lostPod = retakePodIfLost();
+                  if (fresh && !lostPod)
                     callback(ClaimDenied{NotRun{it.Reason, RetryWhenAway}});
                   else
                     callback(ClaimDeferred{it.Reason});
