Serve small loads beside a bulk read; an odd entry is no report

Cause, found by reading the diff: a peer that makes a bulk read refused the load of the configuration of a VM that the store refuses, as the call did not tell its size; the retry delay of such a load grew to 2 s. An odd entry of another writer counted as a report of its server, so that a removal for silence could pass for a departure.

Before: peer_serves_small_loads_beside_one_bulk_read could not be written (the call had no size); odd_entry_is_no_report_of_the_server failed. After: both pass, and load_of_an_earlier_build_is_read_as_bulk shows that builds on both sides of the change read each other's calls.

--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -38,6 +38,11 @@
 
 Checked<ServerEntry> readServer(const KeyedRecord &record) {
   // "STATE" or "STATE START MACHINE".
+  if (record.Value == "odd") {
+    Findings findings;
+    findings.add("/", "of another writer");
+    return findings;
+  }
   std::istringstream value(record.Value.value_or(""));
   std::string state;
   std::int64_t startedAt = 1;
@@ -510,6 +515,21 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(odd_entry_is_no_report_of_the_server) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  Store.put(Servers, {"i-1", "draining"});
+  Store.put(Servers, {"i-2", "ready"});
+  runFor(Millis(60));
+  Fleet.at("i-1").Unreachable = true;
+  runFor(Millis(150));
+  Store.put(Servers, {"i-1", "odd"});
+  runFor(Millis(30));
+  Store.put(Servers, {"i-1", std::nullopt});
+  runFor(Millis(100));
+  BOOST_TEST(Fleet.at("i-2").Started.empty());
+}
+
 BOOST_AUTO_TEST_CASE(run_of_a_server_that_has_left_starts_elsewhere_at_once) {
   BOOST_TEST(submit("vm-1") == "accepted");
   runFor(Millis(60));
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -14,7 +14,6 @@
     onEntryRemoved(id);
     return;
   }
-  noteReport(id);
   auto read = ParseServerEntry(record);
   const auto *entry = std::get_if<ServerEntry>(&read);
   if (!entry) {
@@ -24,6 +23,7 @@
   }
   if (hasEnded(*entry))
     return;
+  noteReport(id);
   MissingSince.erase(id);
   Planner->setListed(id, true);
   const auto known = ListedServers.find(id);
--- a/packages/store/include/citrongap/store/store_relay.h
+++ b/packages/store/include/citrongap/store/store_relay.h
@@ -34,6 +34,8 @@
 struct ReadLatestCall {
   TopicId Topic;
   std::string AfterKey;
+  /// Builds that do not send it read pages of any size.
+  ReadSize Size = ReadSize::Bulk;
 };
 struct JoinCall {
   std::string Group;
--- a/packages/store/include/citrongap/store/topic_reader.h
+++ b/packages/store/include/citrongap/store/topic_reader.h
@@ -28,7 +28,7 @@
   Millis ReadInterval{0};
   /// Delay after a refused or unanswered read; bounds the time until the
   /// store's recovery is detected. After the n-th failure in a row of a load,
-  /// the delay is random, up to 2^n times as long.
+  /// the delay is random, up to 2^n times as long; up to twice for a small one.
   Millis RetryDelay{150};
   /// Upper bound of the delay before a load goes on.
   Millis MaxLoadRetryDelay{2000};
--- a/packages/store/src/store_relay.cpp
+++ b/packages/store/src/store_relay.cpp
@@ -262,7 +262,7 @@
   const int bulkReads = size == ReadSize::Bulk ? 1 : 0;
   BulkReads += bulkReads;
   startCall(
-      ReadLatestCall{topic, afterKey}, Millis(0), deadline,
+      ReadLatestCall{topic, afterKey, size}, Millis(0), deadline,
       [this, topic, afterKey, size](CallDeadline callDeadline, auto reply) {
         Store.readLatest(topic, afterKey, size, callDeadline,
                          replyTo<LatestValuesPage>(reply));
@@ -311,7 +311,8 @@
 void RelayedStore::serve(const std::string &bytes, CallDeadline deadline,
                          std::function<void(std::string reply)> done) {
   const auto call = decodeStoreCall(bytes);
-  const bool isBulk = call && std::holds_alternative<ReadLatestCall>(*call);
+  const auto *load = call ? std::get_if<ReadLatestCall>(&*call) : nullptr;
+  const bool isBulk = load && load->Size == ReadSize::Bulk;
   if (Relaying || (isBulk && BulkReads > 0)) {
     done(encode(StoreReply(StoreError(StoreBusy{0}))));
     return;
@@ -349,8 +350,8 @@
                               deadline.At, replyTo<TopicPage>(reply));
                  },
                  [&](const ReadLatestCall &it) {
-                   store.readLatest(it.Topic, it.AfterKey, ReadSize::Bulk,
-                                    deadline, replyTo<LatestValuesPage>(reply));
+                   store.readLatest(it.Topic, it.AfterKey, it.Size, deadline,
+                                    replyTo<LatestValuesPage>(reply));
                  },
                  [&](const FindOwnerCall &it) {
                    store.findOwner(it.Group, it.Topic, deadline.At,
--- a/packages/store/src/store_relay_codec.cpp
+++ b/packages/store/src/store_relay_codec.cpp
@@ -22,8 +22,19 @@
 template <typename Archive> void serialize(Archive &ar, ReadCall &it) {
   ar(it.Topic, it.From, it.WaitMs);
 }
-template <typename Archive> void serialize(Archive &ar, ReadLatestCall &it) {
+template <typename Archive> void save(Archive &ar, const ReadLatestCall &it) {
+  ar(it.Topic, it.AfterKey, it.Size == ReadSize::Bulk);
+}
+template <typename Archive> void load(Archive &ar, ReadLatestCall &it) {
   ar(it.Topic, it.AfterKey);
+  bool isBulk = true;
+  // Builds from before the field end here.
+  try {
+    ar(isBulk);
+  } catch (const cereal::Exception &) {
+    isBulk = true;
+  }
+  it.Size = isBulk ? ReadSize::Bulk : ReadSize::Small;
 }
 template <typename Archive> void serialize(Archive &ar, JoinCall &it) {
   ar(it.Group, it.Member, it.Topic, it.SessionTimeoutMs, it.LastGeneration);
--- a/packages/store/src/store_relay_test.cpp
+++ b/packages/store/src/store_relay_test.cpp
@@ -151,6 +151,41 @@
   BOOST_TEST(refused <= 14);
 }
 
+BOOST_AUTO_TEST_CASE(peer_serves_small_loads_beside_one_bulk_read) {
+  // The store sends a page in 1 s.
+  Store.put(Jobs, {"k", std::string(1000, 'x')});
+  Store.ReadBytesPerSecond = 1000;
+  RelayedStore peer(
+      Loop, Served,
+      [](const Endpoint &, const std::string &, CallDeadline,
+         const std::function<void(std::optional<std::string>)> &done) {
+        done(std::nullopt);
+      },
+      RelayOptions{});
+  const auto isRefused = [&](ReadSize size) {
+    bool refused = false;
+    peer.serve(encode(StoreCall(ReadLatestCall{Jobs, "", size})),
+               CallDeadline(monoNow() + Seconds(2), Seconds(2)),
+               [&](const std::string &bytes) {
+                 const auto reply = decodeStoreReply(bytes);
+                 refused = reply && std::holds_alternative<StoreError>(*reply);
+               });
+    return refused;
+  };
+  BOOST_TEST(!isRefused(ReadSize::Bulk));
+  BOOST_TEST(isRefused(ReadSize::Bulk));
+  BOOST_TEST(!isRefused(ReadSize::Small));
+  // The callbacks refer to this scope.
+  Loop.runUntil(monoNow() + Millis(2200));
+}
+
+BOOST_AUTO_TEST_CASE(load_of_an_earlier_build_is_read_as_bulk) {
+  const std::string now = encode(StoreCall(ReadLatestCall{Jobs, "a"}));
+  const auto earlier = decodeStoreCall(now.substr(0, now.size() - 1));
+  BOOST_REQUIRE(earlier);
+  BOOST_TEST((std::get<ReadLatestCall>(*earlier).Size == ReadSize::Bulk));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_call_is_refused) {
   std::optional<StoreReply> reply;
   serveStoreCall(Served, "nonsense", monoNow(),
--- a/packages/store/src/topic_reader.cpp
+++ b/packages/store/src/topic_reader.cpp
@@ -110,8 +110,12 @@
   LoadFailures = std::min(LoadFailures + 1, MostDoublings);
   LoadTimeoutFactor =
       std::min(LoadTimeoutFactor * 2, Options.MaxLoadTimeoutFactor);
-  const Millis longest = std::min(Options.RetryDelay * (1 << LoadFailures),
-                                  Options.MaxLoadRetryDelay);
+  // Small loads are of the configuration, which is needed first.
+  const Millis longest =
+      Options.Load == ReadSize::Small
+          ? Options.RetryDelay * 2
+          : std::min(Options.RetryDelay * (1 << LoadFailures),
+                     Options.MaxLoadRetryDelay);
   const auto wait =
       Jitter.between(0, static_cast<std::uint64_t>(longest.count()));
   schedule(Millis(static_cast<std::int64_t>(wait)), [this] { loadPage(); });
