Take a topic that a late join has given to this node

Cause: the store may make a join seconds late, at the end of a cut.

Before: node_that_a_late_join_made_the_owner_takes_the_topic failed. After: it passes.

--- a/packages/store/src/owner_election.cpp
+++ b/packages/store/src/owner_election.cpp
@@ -40,7 +40,10 @@
   const auto *owner = std::get_if<TopicOwner>(&result);
   if (owner)
     ChecksWithoutOwner = owner->Member.empty() ? ChecksWithoutOwner + 1 : 0;
-  if (ChecksWithoutOwner > 1) {
+  // A join whose answer was lost, or that the store made late, may have given
+  // the topic to this node.
+  const bool isAssigned = owner && owner->Member == Member;
+  if (ChecksWithoutOwner > 1 || isAssigned) {
     join();
   } else if (ChecksWithoutOwner == 1 && !Options.Standby) {
     const auto longest = static_cast<std::uint64_t>(Options.JoinSpread.count());
--- a/packages/store/src/owner_election_test.cpp
+++ b/packages/store/src/owner_election_test.cpp
@@ -92,6 +92,21 @@
   BOOST_TEST(changes == 1);
 }
 
+BOOST_AUTO_TEST_CASE(node_that_a_late_join_made_the_owner_takes_the_topic) {
+  Store.DealsAnew = true;
+  Second.start();
+  runFor(Millis(40));
+  First.start();
+  runFor(Millis(40));
+  BOOST_REQUIRE(Second.isOwner());
+  // A join that was sent before a cut arrives after it and is not answered.
+  FirstView.join("owners", "vm-1", Jobs, Seconds(5), Epoch(), monoNow(),
+                 [](const auto &) {});
+  runFor(Millis(60));
+  BOOST_TEST(!Second.isOwner());
+  BOOST_TEST(First.isOwner());
+}
+
 BOOST_AUTO_TEST_CASE(standby_member_joins_only_when_the_topic_has_no_owner) {
   ElectionOptions options = QuickOptions;
   options.Standby = true;
