--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -175,6 +175,15 @@
       runFor(Millis(10));
     return *answer;
   }
+  /// The job runs on "i-1", which is draining; "i-2" is free.
+  void startOnDrainingServer() {
+    BOOST_TEST(submit("vm-1") == "accepted");
+    runFor(Millis(60));
+    Store.put(Servers, {"i-1", "draining"});
+    Store.put(Servers, {"i-2", "ready"});
+    runFor(Millis(60));
+    BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  }
   std::string submit(const std::string &vm) {
     return call(vm, CallerVerb::Submit, Job);
   }
@@ -498,12 +507,7 @@
 
 BOOST_AUTO_TEST_CASE(
     draining_server_that_is_cut_off_keeps_its_run_until_its_lease_ends) {
-  BOOST_TEST(submit("vm-1") == "accepted");
-  runFor(Millis(60));
-  Store.put(Servers, {"i-1", "draining"});
-  Store.put(Servers, {"i-2", "ready"});
-  runFor(Millis(60));
-  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  startOnDrainingServer();
   // Neither the owner nor the store hears from the server, so the store removes
   // its entry. The run goes on.
   Fleet.at("i-1").Unreachable = true;
@@ -516,11 +520,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(odd_entry_is_no_report_of_the_server) {
-  BOOST_TEST(submit("vm-1") == "accepted");
-  runFor(Millis(60));
-  Store.put(Servers, {"i-1", "draining"});
-  Store.put(Servers, {"i-2", "ready"});
-  runFor(Millis(60));
+  startOnDrainingServer();
   Fleet.at("i-1").Unreachable = true;
   runFor(Millis(150));
   Store.put(Servers, {"i-1", "odd"});
@@ -531,12 +531,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(run_of_a_server_that_has_left_starts_elsewhere_at_once) {
-  BOOST_TEST(submit("vm-1") == "accepted");
-  runFor(Millis(60));
-  Store.put(Servers, {"i-1", "draining"});
-  Store.put(Servers, {"i-2", "ready"});
-  runFor(Millis(60));
-  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  startOnDrainingServer();
   // The entry is removed sooner than silence would have it removed.
   Store.put(Servers, {"i-1", "draining"});
   runFor(Millis(30));
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -274,12 +274,12 @@
 
 bool PodPlanner::placeEach(const Unit &unit, std::vector<PackingServer> &view,
                            MonoTime now, PlannedRound &round) {
-  const auto &tasks =
+  const StepRecord &step =
       Works.at(unit.Work).Record.Occurrences[unit.Occurrence].Steps[unit.Step];
   const bool alike =
       specOf(unit).MaxPerServer == 0 &&
       std::all_of(unit.Indices.begin(), unit.Indices.end(),
-                  [&](std::uint32_t it) { return tasks.Tasks[it].Run == 0; });
+                  [&](std::uint32_t it) { return step.Tasks[it].Run == 0; });
   Unit one = unit;
   bool all = true;
   for (const std::uint32_t it :
