Start nothing in a data centre that is being evacuated

Change: the planner gives the servers of such a data centre no runs until the record is removed; a new owner keeps to it, and a removal that was not read is seen at the next load.

Before: evacuated_data_centre_gets_no_new_runs failed. After: it passes.

--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace citrongap {
@@ -24,6 +25,9 @@
   TopicId Jobs{"keyed.jobs"};
   TopicId Configuration;
   std::string ConfigurationKey;
+  /// In the configuration's topic, a record under this prefix and the id of a
+  /// data centre asks for its evacuation. Empty: there are none.
+  std::string EvacuationPrefix;
   TopicId Servers;
   FrontOptions Front;
   ControllerOptions Controller;
@@ -89,6 +93,9 @@
   /// Starts the load of the jobs, or schedules it on a standby; once.
   void loadJobs();
   void onConfiguration(const KeyedRecord &record);
+  void onEvacuation(const DataCentreId &dataCentre, bool requested);
+  /// Evacuations that were taken back while nobody read are not among the keys.
+  void onConfigurationLoaded(const std::set<std::string> &keys);
   void onOwnership(bool isOwner);
   void reportHealth(TopicReader &reader, const char *topic);
   TopicReaderOptions followerOptions() const;
@@ -114,6 +121,8 @@
   PodController Controller;
   OwnerElection Election;
   bool Draining = false;
+  /// Data centres in which nothing new starts.
+  std::set<DataCentreId> Evacuated;
   /// Guards callbacks of store calls that outlive this object.
   std::shared_ptr<int> Alive = std::make_shared<int>(0);
 };
--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -61,6 +61,8 @@
   bool active() const { return Active; }
 
   void setGuarantees(std::map<ClientAccountId, std::int64_t> gpus);
+  /// Data centres whose servers get no new runs.
+  void setEvacuated(std::set<DataCentreId> dataCentres);
   /// A job was submitted or cancelled.
   void onJobChange(const WorkId &id);
   /// The jobs topic was applied to the registry up to `next`, exclusive.
@@ -144,6 +146,7 @@
   /// Incarnations that have ended; stale entries of them may still be read.
   std::set<ServerIncarnation> EndedIncarnations;
   std::map<ClientAccountId, std::int64_t> Guarantees;
+  std::set<DataCentreId> Evacuated;
   /// The jobs topic must be read up to here before the owner becomes active.
   std::optional<LogOffset> ReplayUpTo;
   /// Invariant: true only while `Planner` and `Appender` are set.
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -93,6 +93,9 @@
   JobsReader.OnLoaded = [this](const std::set<std::string> &keys) {
     Registry.removeEndedExcept(keys);
   };
+  ConfigurationReader.OnLoaded = [this](const std::set<std::string> &keys) {
+    onConfigurationLoaded(keys);
+  };
   reportHealth(JobsReader, "jobs");
   reportHealth(ConfigurationReader, "configuration");
 }
@@ -159,7 +162,29 @@
   });
 }
 
+void EntryNode::onEvacuation(const DataCentreId &dataCentre, bool requested) {
+  const bool changed = requested ? Evacuated.insert(dataCentre).second
+                                 : Evacuated.erase(dataCentre) > 0;
+  if (!changed)
+    return;
+  Log("configuration", requested ? "evacuate" : "evacuate_taken_back",
+      "data_centre={}", dataCentre.str());
+  Controller.setEvacuated(Evacuated);
+}
+
+void EntryNode::onConfigurationLoaded(const std::set<std::string> &keys) {
+  for (const DataCentreId &it : std::set<DataCentreId>(Evacuated))
+    if (!keys.contains(Settings.EvacuationPrefix + it.str()))
+      onEvacuation(it, false);
+}
+
 void EntryNode::onConfiguration(const KeyedRecord &record) {
+  const std::string &prefix = Settings.EvacuationPrefix;
+  if (!prefix.empty() && record.Key.starts_with(prefix)) {
+    onEvacuation(DataCentreId(record.Key.substr(prefix.size())),
+                 record.Value.has_value());
+    return;
+  }
   if (record.Key != Settings.ConfigurationKey || !record.Value)
     return;
   auto parsed = Parsers.Configuration(*record.Value);
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -52,6 +52,8 @@
                        entry.Machine.empty() ? 1 : startedAt};
   entry.Service = "render";
   entry.Rack = RackId("r1");
+  // "i-1" is in "dc-1".
+  entry.DataCentre = DataCentreId("dc-" + record.Key.substr(2));
   entry.Capacity = {128000, 512000, 8};
   entry.Draining = state == "draining";
   return entry;
@@ -97,6 +99,7 @@
       out.Configuration = Configuration;
       out.ConfigurationKey = "config";
       out.Servers = Servers;
+      out.EvacuationPrefix = "evacuate/";
       out.FollowerPollWait = Millis(30);
       out.FollowerAnswerTimeout = Millis(40);
       out.FollowerReadInterval = site.ReaderInterval;
@@ -570,6 +573,21 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(evacuated_data_centre_gets_no_new_runs) {
+  Store.put(Configuration, {"evacuate/dc-1", "{}"});
+  runFor(Millis(60));
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(100));
+  BOOST_TEST(Fleet.started() == 0U);
+  // A new owner keeps to it, too.
+  kill("vm-1");
+  runFor(Millis(300));
+  BOOST_TEST(Fleet.started() == 0U);
+  Store.put(Configuration, {"evacuate/dc-1", std::nullopt});
+  runFor(Millis(200));
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(draining_server_gets_no_new_runs) {
   Store.put(Servers, {"i-1", "draining"});
   runFor(Millis(80));
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -48,6 +48,7 @@
   TookOverAt = monoNow();
   Planner = std::make_unique<PodPlanner>(Options.Planner);
   Planner->setGuarantees(Guarantees);
+  Planner->setEvacuated(Evacuated);
   Appender = std::make_unique<BatchAppender>(
       Loop, Store, JobsTopic, OwnerProducer, epoch, Options.Appender);
   Appender->OnFenced = [this] {
@@ -131,6 +132,13 @@
   scheduleRound();
 }
 
+void PodController::setEvacuated(std::set<DataCentreId> dataCentres) {
+  Evacuated = std::move(dataCentres);
+  if (Planner)
+    Planner->setEvacuated(Evacuated);
+  scheduleRound();
+}
+
 void PodController::loadJob(const WorkId &id) {
   const RegistryEntry *entry = Registry.find(id);
   if (!entry)
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -162,6 +162,8 @@
   /// Unreachable and unlisted servers get no starts.
   void setReachable(const BackendServerId &id, bool reachable);
   void setListed(const BackendServerId &id, bool listed);
+  /// Servers in these data centres get no starts.
+  void setEvacuated(std::set<DataCentreId> dataCentres);
   /// The process has ended with all its runs, which may start elsewhere.
   void removeIncarnation(const ServerIncarnation &incarnation, MonoTime now);
   /// All leases of this incarnation have expired: its runs may start elsewhere.
@@ -324,6 +326,7 @@
   /// Times and accelerators of the requests of priority 0 within
   /// `ArrivalWindow`.
   std::vector<std::pair<MonoTime, std::int64_t>> UrgentArrivals;
+  std::set<DataCentreId> Evacuated;
   /// Of the round in progress: requests that did not fit, and whether requests
   /// would fit if all servers were empty.
   PackingOutcomes RoundOutcomes;
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -66,6 +66,10 @@
   Placed.erase(incarnation);
 }
 
+void PodPlanner::setEvacuated(std::set<DataCentreId> dataCentres) {
+  Evacuated = std::move(dataCentres);
+}
+
 void PodPlanner::removeIncarnation(const ServerIncarnation &incarnation,
                                    MonoTime now) {
   expireLeases(incarnation, now);
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -104,7 +104,7 @@
   std::vector<PackingServer> view;
   for (const auto &[id, slot] : Servers.all()) {
     if (!slot.Reachable || !slot.Listed || slot.Entry.Draining ||
-        now < slot.NoStartsBefore)
+        now < slot.NoStartsBefore || Evacuated.contains(slot.Entry.DataCentre))
       continue;
     const bool quarantined = Health.quarantined(id);
     if (quarantined && !Health.probeDue(id, now))
