Tell in logs and metrics why a run was started again

leases_lapsed names the leases that were requested without a known clock and the time since the latest lease end, gone the runs on the server, ended whether a later run had replaced the ended one. A counter of runs that ended as done after they had been replaced.

--- a/packages/control/include/citrongap/control/control_metrics.h
+++ b/packages/control/include/citrongap/control/control_metrics.h
@@ -33,6 +33,8 @@
   /// Stop orders and run ends that the owner has seen.
   std::map<std::string, std::uint64_t> StopsByReason;
   std::map<std::string, std::uint64_t> EndsByKind;
+  /// Runs that ended as done after another run had replaced them.
+  std::uint64_t DoneAfterReplacement = 0;
   /// Time from a task becoming eligible to its start order, by rank.
   std::map<std::uint32_t, LatencyHistogram> StartWait;
   std::uint64_t TakeOvers = 0;
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -60,7 +60,8 @@
     std::function<void(const ServerIncarnation &)> Fenced;
     /// Another incarnation answers at the address.
     std::function<void(const ServerIncarnation &)> IncarnationChanged;
-    std::function<void(RunOutcome)> RunEnded;
+    /// `replaced`: a later run of the task has been placed.
+    std::function<void(RunOutcome, bool replaced)> RunEnded;
     /// All leases have expired while the server was unreachable.
     std::function<void(const ServerIncarnation &)> LeasesExpired;
   };
@@ -163,6 +164,8 @@
   /// Server's clock minus the local clock, in milliseconds; empty before the
   /// first answer.
   std::optional<std::int64_t> ClockOffset;
+  /// Leases that were requested while the server's clock was unknown.
+  int UnboundedLeases = 0;
   /// No lease on the server ends later than this.
   MonoTime LatestLeaseEnd;
   Timer PollTimer;
--- a/packages/control/src/control_metrics.cpp
+++ b/packages/control/src/control_metrics.cpp
@@ -37,6 +37,8 @@
   counts("citrongap_answers_total", "answer", Answers);
   counts("citrongap_stops_total", "reason", StopsByReason);
   counts("citrongap_run_ends_total", "how", EndsByKind);
+  out += fmt::format("citrongap_done_after_replacement_total {}\n",
+                     DoneAfterReplacement);
   out += fmt::format("citrongap_take_overs_total {}\n", TakeOvers);
   out += fmt::format("citrongap_store_losses_total {}\n", StoreLosses);
   out += AnswerTime.text("citrongap_answer_ms", "");
--- a/packages/control/src/control_metrics_test.cpp
+++ b/packages/control/src/control_metrics_test.cpp
@@ -17,4 +17,5 @@
   BOOST_TEST(has("citrongap_start_wait_ms_bucket{rank=\"1\",le=\"10\"} 2\n"));
   BOOST_TEST(has("citrongap_start_wait_ms_bucket{rank=\"1\",le=\"+Inf\"} 3\n"));
   BOOST_TEST(has("citrongap_take_overs_total 0\n"));
+  BOOST_TEST(has("citrongap_done_after_replacement_total 0\n"));
 }
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -127,8 +127,10 @@
   events.IncarnationChanged = [this](const ServerIncarnation &incarnation) {
     dropServer(ServerIncarnation(incarnation), "another incarnation answered");
   };
-  events.RunEnded = [this](RunOutcome outcome) {
+  events.RunEnded = [this](RunOutcome outcome, bool replaced) {
     ++Metrics.EndsByKind[describe(outcome)];
+    if (outcome == RunOutcome::Done && replaced)
+      ++Metrics.DoneAfterReplacement;
   };
   events.LeasesExpired = [this](const ServerIncarnation &incarnation) {
     Planner->expireLeases(incarnation, monoNow());
@@ -140,8 +142,9 @@
 void PodController::dropServer(const ServerIncarnation &incarnation,
                                const char *reason) {
   EndedIncarnations.insert(incarnation);
-  Log("servers", "gone", "server={} born={} why=\"{}\"", incarnation.Id.str(),
-      incarnation.StartedAtMs, reason);
+  Log("servers", "gone", "server={} born={} runs={} why=\"{}\"",
+      incarnation.Id.str(), incarnation.StartedAtMs,
+      Planner ? Planner->runsPlacedOn(incarnation).size() : 0, reason);
   const auto link = Links.find(incarnation);
   if (link != Links.end()) {
     link->second->setActive(false);
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -107,6 +107,7 @@
     return;
   }
   it.StartInFlight = true;
+  UnboundedLeases += ClockOffset ? 0 : 1;
   LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
   Fleet.start(Address, it.Order, leaseUntil(), Token,
               now + Options.AnswerTimeout,
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -18,6 +18,7 @@
   // extend the leases of a server that may be unreachable.
   if (FailedPolls == 0 && !TrackedRuns.empty()) {
     request.LeaseUntil = leaseUntil();
+    UnboundedLeases += ClockOffset ? 0 : 1;
     LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
   }
   if (FailedPolls == 0 && Synchronized && !TrackedRuns.empty())
@@ -94,8 +95,10 @@
   }
   if (FailedPolls >= Options.MaxFailedPolls && monoNow() >= LatestLeaseEnd &&
       !TrackedRuns.empty()) {
-    Log("server", "leases_lapsed", "server={} born={} runs={}",
-        Incarnation.Id.str(), Incarnation.StartedAtMs, TrackedRuns.size());
+    Log("server", "leases_lapsed",
+        "server={} born={} runs={} ended_ms_ago={} unbounded={}",
+        Incarnation.Id.str(), Incarnation.StartedAtMs, TrackedRuns.size(),
+        (monoNow() - LatestLeaseEnd).count(), UnboundedLeases);
     TrackedRuns.clear();
     Notify.LeasesExpired(Incarnation);
   }
@@ -164,10 +167,11 @@
   const auto found = TrackedRuns.find(end.Task);
   if (found != TrackedRuns.end() && found->second.Order.Run == end.Run)
     TrackedRuns.erase(found);
-  Log("run", "ended", "task={} run={} server={} how={} number={}",
+  const bool replaced = Planner.wasReplaced(end.Task, end.Run);
+  Log("run", "ended", "task={} run={} server={} how={} number={} replaced={}",
       end.Task.str(), end.Run, Incarnation.Id.str(), describe(end.Outcome),
-      end.Number);
-  Notify.RunEnded(end.Outcome);
+      end.Number, replaced);
+  Notify.RunEnded(end.Outcome, replaced);
   Planner.recordRunEnd(end.Task, end.Run, Incarnation, end.Outcome,
                        end.Checkpoint, now, toMillis(wallNow()));
 }
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -204,6 +204,8 @@
   /// is requested.
   bool isCurrentRun(const TaskName &task, std::uint32_t run,
                     const ServerIncarnation &server) const;
+  /// Whether a later run of the task has been placed.
+  bool wasReplaced(const TaskName &task, std::uint32_t run) const;
   /// Runs placed on a server, including those being stopped.
   std::vector<StartOrder>
   runsPlacedOn(const ServerIncarnation &incarnation) const;
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -241,6 +241,11 @@
          record->Server == server && !record->StopRequested;
 }
 
+bool PodPlanner::wasReplaced(const TaskName &task, std::uint32_t run) const {
+  const TaskRecord *record = findTask(task);
+  return record && record->Run > run;
+}
+
 std::vector<StartOrder>
 PodPlanner::runsPlacedOn(const ServerIncarnation &incarnation) const {
   std::vector<StartOrder> out;
