--- a/packages/control/src/fake_fleet.cpp
+++ b/packages/control/src/fake_fleet.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr ServerClockMs Clock = 5000;
+constexpr ServerClockMs FirstClock = 5000;
 /// Polls are answered after this delay instead of their requested wait.
 constexpr Millis ShortPollDelay{10};
 
@@ -59,16 +59,44 @@
   return {};
 }
 
-std::optional<FleetError>
-FakeFleet::applyStart(Server &it, const StartOrder &order, Epoch token) {
-  if (token < it.Token)
+ServerClockMs FakeFleet::clock() const {
+  return FirstClock +
+         static_cast<ServerClockMs>(
+             static_cast<double>((monoNow() - StartedAt).count()) * ClockRate);
+}
+
+void FakeFleet::renewLease(Server &it, ServerClockMs until) {
+  if (MaxLease)
+    it.LeaseEnd =
+        std::max(it.LeaseEnd, std::min(until, clock() + MaxLease->count()));
+}
+
+void FakeFleet::expireLeases() {
+  if (!MaxLease)
+    return;
+  for (auto &[id, it] : Servers) {
+    if (clock() < it.LeaseEnd)
+      continue;
+    const std::map<TaskName, std::uint32_t> lapsed = it.Running;
+    for (const auto &[task, run] : lapsed)
+      end(id.str(), task, RunOutcome::LeaseExpired);
+  }
+}
+
+std::optional<FleetError> FakeFleet::applyStart(Server &it,
+                                                const DelayedStart &start) {
+  const StartOrder &order = start.Order;
+  if (start.Token < it.Token)
     return ServerFenced{};
-  it.Token = token;
+  it.Token = start.Token;
+  renewLease(it, start.LeaseUntil);
   if (it.Running.contains(order.Task))
     return std::nullopt;
   if (it.EndedRuns.contains(order.Task) &&
       order.Run <= it.EndedRuns[order.Task])
     return OrderRefused{StartRefusal::StaleRun, "old"};
+  if (MaxLease && start.LeaseUntil <= clock())
+    return OrderRefused{StartRefusal::StaleRun, "late"};
   if (it.NoRoom)
     return OrderRefused{StartRefusal::NoRoom, "room"};
   it.Running[order.Task] = order.Run;
@@ -77,37 +105,48 @@
 }
 
 void FakeFleet::deliverDelayedStarts(const std::string &id) {
+  expireLeases();
   Server &it = at(id);
-  for (const auto &[order, token] : std::exchange(it.DelayedStarts, {}))
-    applyStart(it, order, token);
+  for (const DelayedStart &start : std::exchange(it.DelayedStarts, {}))
+    applyStart(it, start);
 }
 
-void FakeFleet::start(const Endpoint &, const StartOrder &order, ServerClockMs,
-                      Epoch token, MonoTime deadline,
+void FakeFleet::deliverDelayedPolls(const std::string &id) {
+  expireLeases();
+  Server &it = at(id);
+  for (const auto &[request, token] : std::exchange(it.DelayedPolls, {}))
+    applyPoll(it, request, token);
+}
+
+void FakeFleet::start(const Endpoint &, const StartOrder &order,
+                      ServerClockMs leaseUntil, Epoch token, MonoTime deadline,
                       FleetCallback<OrderAcknowledged> done) {
+  expireLeases();
   Server &it = Servers[order.Server.Id];
   ++CallsByToken[token];
   if (it.Unreachable) {
     answer<OrderAcknowledged>(it, done, FleetError(OrderNotSent{}), deadline);
     return;
   }
+  const DelayedStart start{order, leaseUntil, token};
   if (it.DelayStarts) {
-    it.DelayedStarts.emplace_back(order, token);
+    it.DelayedStarts.push_back(start);
     PendingReplies.push_back(Loop.at(
         deadline, [done] { done(FleetError(OrderOutcomeUnknown{"held"})); }));
     return;
   }
   std::optional<FleetError> refused;
   if (!it.Silent)
-    refused = applyStart(it, order, token);
+    refused = applyStart(it, start);
   if (refused)
     answer<OrderAcknowledged>(it, done, std::move(*refused), deadline);
   else
-    answer<OrderAcknowledged>(it, done, OrderAcknowledged{Clock}, deadline);
+    answer<OrderAcknowledged>(it, done, OrderAcknowledged{clock()}, deadline);
 }
 
 void FakeFleet::stop(const Endpoint &, const StopOrder &order, Epoch token,
                      MonoTime deadline, FleetCallback<OrderAcknowledged> done) {
+  expireLeases();
   Server &it = Servers[order.Server.Id];
   ++CallsByToken[token];
   if (!it.Silent && token < it.Token) {
@@ -119,30 +158,45 @@
     it.EndedRuns[order.Task] = order.Run;
     end(order.Server.Id.str(), order.Task, RunOutcome::Stopped);
   }
-  answer<OrderAcknowledged>(it, done, OrderAcknowledged{Clock}, deadline);
+  answer<OrderAcknowledged>(it, done, OrderAcknowledged{clock()}, deadline);
+}
+
+void FakeFleet::applyPoll(Server &it, const PollRequest &request, Epoch token) {
+  if (token < it.Token)
+    return;
+  it.Token = token;
+  std::erase_if(it.Ended, [&](const RunEndReport &n) {
+    return n.Number <= request.AcknowledgedUpTo;
+  });
+  if (request.LeaseUntil)
+    renewLease(it, *request.LeaseUntil);
 }
 
 void FakeFleet::poll(const Endpoint &, const ServerIncarnation &incarnation,
                      const PollRequest &request, Epoch token, MonoTime deadline,
                      FleetCallback<PollAnswer> done) {
+  expireLeases();
   Server &it = Servers[incarnation.Id];
   ++CallsByToken[token];
   if (it.Unreachable) {
     answer<PollAnswer>(it, done, FleetError(OrderNotSent{}), deadline);
     return;
   }
+  if (it.DelayPolls) {
+    it.DelayedPolls.emplace_back(request, token);
+    PendingReplies.push_back(Loop.at(
+        deadline, [done] { done(FleetError(OrderOutcomeUnknown{"held"})); }));
+    return;
+  }
   if (!it.Silent && token < it.Token) {
     answer<PollAnswer>(it, done, FleetError(ServerFenced{}), deadline);
     return;
   }
   PollAnswer out;
-  out.Clock = Clock;
+  out.Clock = clock();
   out.StartedAtMs = ReportedStartMs.value_or(incarnation.StartedAtMs);
   if (!it.Silent) {
-    it.Token = token;
-    std::erase_if(it.Ended, [&](const RunEndReport &n) {
-      return n.Number <= request.AcknowledgedUpTo;
-    });
+    applyPoll(it, request, token);
     for (const auto &[task, run] : it.Running)
       out.Running.push_back({task, run, "", 1});
     out.Ended = it.Ended;
--- a/packages/control/src/fake_fleet.h
+++ b/packages/control/src/fake_fleet.h
@@ -1,5 +1,5 @@
-// In-memory backend servers for tests: fencing without leases, runs that end on
-// request, and injected network faults.
+// In-memory backend servers for tests: fencing, leases on request, runs that
+// end on request, and injected network faults.
 #ifndef CITRONGAP_CONTROL_FAKE_FLEET_H
 #define CITRONGAP_CONTROL_FAKE_FLEET_H
 
@@ -20,6 +20,11 @@
 public:
   explicit FakeFleet(EventLoop &loop) : Loop(loop) {}
 
+  struct DelayedStart {
+    StartOrder Order;
+    ServerClockMs LeaseUntil;
+    Epoch Token;
+  };
   struct Server {
     Epoch Token;
     std::map<TaskName, std::uint32_t> Running;
@@ -35,18 +40,32 @@
     std::map<TaskName, std::uint32_t> EndedRuns;
     /// Starts get no answer and are queued for deliverDelayedStarts().
     bool DelayStarts = false;
-    std::vector<std::pair<StartOrder, Epoch>> DelayedStarts;
+    std::vector<DelayedStart> DelayedStarts;
+    /// Polls get no answer and are queued for deliverDelayedPolls().
+    bool DelayPolls = false;
+    std::vector<std::pair<PollRequest, Epoch>> DelayedPolls;
     /// Connections are refused.
     bool Unreachable = false;
     /// Starts are refused for lack of capacity.
     bool NoRoom = false;
+    /// On the server's clock; its runs lapse then.
+    ServerClockMs LeaseEnd = 0;
   };
 
+  /// Longest lease that servers grant, counted from the arrival of the request.
+  /// Without a value, runs need no lease.
+  std::optional<Millis> MaxLease;
+  /// Rate of the servers' clocks.
+  double ClockRate = 1.0;
+
   Server &at(const std::string &id) { return Servers[BackendServerId(id)]; }
   /// Ends the run of `task`, if there is one.
   void end(const std::string &id, const TaskName &task, RunOutcome outcome);
   /// Executes the delayed starts.
   void deliverDelayedStarts(const std::string &id);
+  void deliverDelayedPolls(const std::string &id);
+  /// Ends the runs whose lease has expired.
+  void expireLeases();
   /// Number of executed starts on all servers.
   std::size_t started() const;
   std::size_t running() const;
@@ -68,13 +87,16 @@
 
 private:
   /// Empty if the start was executed or the task is running already.
-  static std::optional<FleetError>
-  applyStart(Server &it, const StartOrder &order, Epoch token);
+  std::optional<FleetError> applyStart(Server &it, const DelayedStart &start);
+  void applyPoll(Server &it, const PollRequest &request, Epoch token);
+  void renewLease(Server &it, ServerClockMs until);
+  ServerClockMs clock() const;
   template <typename T>
   void answer(const Server &from, FleetCallback<T> done, FleetResult<T> result,
               MonoTime deadline);
 
   EventLoop &Loop;
+  MonoTime StartedAt = monoNow();
   std::map<BackendServerId, Server> Servers;
   std::list<Timer> PendingReplies;
 };
--- /dev/null
+++ b/packages/control/src/server_lease_test.cpp
@@ -0,0 +1,94 @@
+// Leases of backend servers that carry orders out late or are cut off: a run
+// starts elsewhere only after its lease has ended on the server's clock.
+#include "entry_site.h"
+
+using namespace citrongap;
+using namespace citrongap::testing;
+
+namespace {
+
+struct LeaseSite : EntrySite {
+  explicit LeaseSite(Millis maxLease = Millis(300)) : EntrySite(maxLease) {
+    Fleet.MaxLease = maxLease;
+  }
+
+  /// Server "i-1" is cut off, "i-2" is free.
+  void cutOff() {
+    Fleet.at("i-1").Unreachable = true;
+    Store.put(Servers, {"i-2", "ready"});
+  }
+  /// Runs the loop and returns the most runs that were in progress at once.
+  std::size_t mostRunsWithin(Millis span) {
+    std::size_t most = 0;
+    for (const MonoTime end = monoNow() + span; monoNow() < end;) {
+      runFor(Millis(2));
+      Fleet.expireLeases();
+      most = std::max(most, Fleet.running());
+    }
+    return most;
+  }
+};
+
+struct LongLeaseSite : LeaseSite {
+  LongLeaseSite() : LeaseSite(Millis(600)) {}
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(server_lease)
+
+// A new owner's first poll that is carried out late must not extend the lease
+// of an inherited run past the time at which the owner starts it elsewhere.
+BOOST_FIXTURE_TEST_CASE(late_first_poll_does_not_outlive_the_owners_lease_end,
+                        LongLeaseSite) {
+  BOOST_TEST(submit("vm-2") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Fleet.at("i-1").DelayPolls = true;
+  kill("vm-1");
+  runFor(Millis(450));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Fleet.deliverDelayedPolls("i-1");
+  cutOff();
+  BOOST_TEST(mostRunsWithin(Millis(900)) == 1U);
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+// A start that is sent before the server's first answer and carried out late
+// must not begin a lease that outlives the owner's count.
+BOOST_FIXTURE_TEST_CASE(late_start_before_the_first_answer_runs_only_once,
+                        LeaseSite) {
+  Store.put(Servers, {"i-1", std::nullopt});
+  Store.put(Servers, {"i-3", "ready"});
+  Fleet.at("i-3").DelayPolls = true;
+  Fleet.at("i-3").DelayStarts = true;
+  runFor(Millis(60));
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(340));
+  Fleet.at("i-3").Unreachable = true;
+  Fleet.deliverDelayedPolls("i-3");
+  Fleet.deliverDelayedStarts("i-3");
+  Store.put(Servers, {"i-2", "ready"});
+  BOOST_TEST(mostRunsWithin(Millis(400)) == 1U);
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
+// The reading of a slow server's clock from before a long idle time must not
+// make the next lease longer than the owner counts on.
+BOOST_FIXTURE_TEST_CASE(lease_after_an_idle_time_allows_for_a_slow_clock,
+                        LeaseSite) {
+  Fleet.ClockRate = 0.98;
+  // Ten seconds of the clock's deviation, 0.2 s, exceed the margins of a lease.
+  runFor(Millis(10000));
+  Fleet.at("i-1").DelayStarts = true;
+  BOOST_TEST(submit("vm-1") == "accepted");
+  for (int n = 0; n < 50 && Fleet.at("i-1").DelayedStarts.empty(); ++n)
+    runFor(Millis(2));
+  BOOST_REQUIRE(!Fleet.at("i-1").DelayedStarts.empty());
+  cutOff();
+  runFor(Millis(250));
+  Fleet.deliverDelayedStarts("i-1");
+  BOOST_TEST(mostRunsWithin(Millis(400)) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
