Request leases only by a known clock of the server

Cause: before a server's first answer its clock is not known. A new owner's first poll of each server with inherited runs, and a start before the first answer, asked for a lease end in the far future. The server cuts it to its limit, counted from the arrival of the call, which may be 12 s late; the owner counts from the sending. The lease outlived the owner's count and the run was started again. The same class: a reading of the clock from before an idle time was used for any age, while the clock may run 2% slow.

Now a lease always ends at a time of the server's clock, computed from the earliest time that this clock may show; readings over 10 s old are not used. Until there is one, polls carry no lease and starts wait for the answer to a poll.

--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -36,10 +36,14 @@
   /// Factor by which a server's clock may run slow: the platform's bound, plus
   /// half that deviation for the local clock.
   double MaxClockSlowdown = 1.03;
+  /// Age up to which a reading of a server's clock is used. A lease is shorter
+  /// by the deviation that the clock may have gathered since.
+  Millis MaxClockAge{10000};
   /// Added to a lease end, for network delays.
   Millis LeaseEndMargin{300};
 
-  /// Time by which a lease requested at `sentAt` has certainly expired.
+  /// Time by which a lease requested at `sentAt` has certainly expired, however
+  /// late the request arrives: it names its end on the server's clock.
   MonoTime latestLeaseEnd(MonoTime sentAt) const {
     return sentAt +
            Millis(static_cast<std::int64_t>(
@@ -73,7 +77,8 @@
              Epoch token, LinkOptions options, MonoTime inheritedLeaseEnd,
              Events events);
 
-  /// Sends the start, with retries until its outcome is known.
+  /// Sends the start, with retries until its outcome is known. Without a recent
+  /// reading of the server's clock, polls first.
   void start(const StartOrder &order);
   /// Sends the stop, with retries until it is acknowledged. A run whose start
   /// was never sent is reported as missing at once.
@@ -98,7 +103,7 @@
     /// have been or may still be carried out, even if a later attempt is
     /// refused.
     bool StartUncertain = false;
-    /// Attempts that were not sent.
+    /// Attempts that failed before they were sent.
     int UnsentStarts = 0;
     /// When the server confirmed the start.
     std::optional<MonoTime> StartConfirmedAt;
@@ -110,8 +115,7 @@
 
     /// The start is certain not to have reached the server.
     bool startNeverSent() const {
-      return !StartUncertain && !StartInFlight && !StartConfirmedAt &&
-             UnsentStarts > 0;
+      return !StartUncertain && !StartInFlight && !StartConfirmedAt;
     }
   };
 
@@ -129,14 +133,20 @@
               FleetResult<PollAnswer> result);
   void applyLists(MonoTime sentAt, const PollAnswer &answer);
   void sendUnconfirmedStarts();
+  /// Returns the runs whose start was never sent to the planner.
+  void returnUnsentStarts();
   void stopObsoleteRuns();
   void applyRunning(const ListedRun &run, MonoTime now);
   void applyRunEnd(const RunEndReport &end, MonoTime now);
   void reportMissingRuns(MonoTime sentAt, const PollAnswer &answer,
                          MonoTime now);
   void onPollFailed(const FleetError &error);
-  void updateClockOffset(ServerClockMs clock);
-  ServerClockMs leaseUntil() const;
+  void readClock(ServerClockMs clock);
+  /// Earliest time that the server's clock may show now.
+  ServerClockMs earliestClock() const;
+  /// Latest end that may be requested now for a lease; empty without a recent
+  /// reading of the server's clock.
+  std::optional<ServerClockMs> leaseUntil() const;
   bool needsPoll() const;
   void schedulePoll(Millis wait);
 
@@ -161,11 +171,12 @@
   std::uint64_t RecordedUpTo = 0;
   /// Highest acknowledged number that an answered poll carried.
   std::uint64_t ConfirmedUpTo = 0;
-  /// Server's clock minus the local clock, in milliseconds; empty before the
-  /// first answer.
-  std::optional<std::int64_t> ClockOffset;
-  /// Leases that were requested while the server's clock was unknown.
-  int UnboundedLeases = 0;
+  struct ClockReading {
+    ServerClockMs Clock = 0;
+    MonoTime ReceivedAt;
+  };
+  /// The server's clock in its latest answer; empty before the first one.
+  std::optional<ClockReading> LastClock;
   /// No lease on the server ends later than this.
   MonoTime LatestLeaseEnd;
   Timer PollTimer;
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -77,17 +77,23 @@
   pollIfNeeded();
 }
 
-ServerClockMs ServerLink::leaseUntil() const {
-  // The server's clock is unknown before its first answer. The server shortens
-  // a lease that exceeds its limit.
-  constexpr ServerClockMs LongestLease = 1'000'000'000'000;
-  if (!ClockOffset)
-    return LongestLease;
-  return toMillis(monoNow()) + *ClockOffset + Options.MaxLease.count();
+ServerClockMs ServerLink::earliestClock() const {
+  const Millis age = monoNow() - LastClock->ReceivedAt;
+  return LastClock->Clock +
+         static_cast<ServerClockMs>(static_cast<double>(age.count()) /
+                                    Options.MaxClockSlowdown);
 }
 
-void ServerLink::updateClockOffset(ServerClockMs clock) {
-  ClockOffset = clock - toMillis(monoNow());
+std::optional<ServerClockMs> ServerLink::leaseUntil() const {
+  if (!LastClock || monoNow() - LastClock->ReceivedAt > Options.MaxClockAge)
+    return std::nullopt;
+  return earliestClock() + Options.MaxLease.count();
+}
+
+void ServerLink::readClock(ServerClockMs clock) {
+  // An answer that was overtaken tells an earlier time.
+  if (!LastClock || clock > earliestClock())
+    LastClock = {clock, monoNow()};
 }
 
 void ServerLink::sendStart(const TaskName &task) {
@@ -106,11 +112,16 @@
         Loop.at(now + Options.RetryDelay, [this, task] { sendStart(task); });
     return;
   }
+  const auto until = leaseUntil();
+  if (!until) {
+    // applyLists() sends the start once the answer has told the clock.
+    requestLists();
+    pollIfNeeded();
+    return;
+  }
   it.StartInFlight = true;
-  UnboundedLeases += ClockOffset ? 0 : 1;
   LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
-  Fleet.start(Address, it.Order, leaseUntil(), Token,
-              now + Options.AnswerTimeout,
+  Fleet.start(Address, it.Order, *until, Token, now + Options.AnswerTimeout,
               [this, task, run = it.Order.Run,
                alive = std::weak_ptr<int>(Alive)](auto result) {
                 if (alive.lock())
@@ -127,7 +138,7 @@
     found->second.StartInFlight = false;
   const MonoTime now = monoNow();
   if (const auto *done = std::get_if<OrderAcknowledged>(&result)) {
-    updateClockOffset(done->Clock);
+    readClock(done->Clock);
     if (known)
       found->second.StartConfirmedAt = now;
     Planner.recordStart(task, run, Incarnation, now);
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -14,14 +14,14 @@
   const MonoTime now = monoNow();
   PollRequest request;
   request.AcknowledgedUpTo = RecordedUpTo;
-  // After a failed poll no lease is renewed: a poll that arrives late would
-  // extend the leases of a server that may be unreachable.
+  // After a failed poll no lease is renewed: the leases of a server that may be
+  // unreachable shall end soon.
   if (FailedPolls == 0 && !TrackedRuns.empty()) {
     request.LeaseUntil = leaseUntil();
-    UnboundedLeases += ClockOffset ? 0 : 1;
-    LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
+    if (request.LeaseUntil)
+      LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
   }
-  if (FailedPolls == 0 && Synchronized && !TrackedRuns.empty())
+  if (request.LeaseUntil && Synchronized)
     request.Wait = Options.LongPollWait;
   sendPoll(request, true);
 }
@@ -73,7 +73,7 @@
   }
   FailedPolls = 0;
   ConfirmedUpTo = std::max(ConfirmedUpTo, acknowledged);
-  updateClockOffset(answer.Clock);
+  readClock(answer.Clock);
   applyLists(sentAt, answer);
 }
 
@@ -87,6 +87,7 @@
     Notify.IncarnationChanged(Incarnation);
     return;
   }
+  returnUnsentStarts();
   if (++FailedPolls == Options.MaxFailedPolls) {
     Log("server", "unreachable", "server={} born={} runs={}",
         Incarnation.Id.str(), Incarnation.StartedAtMs, TrackedRuns.size());
@@ -95,10 +96,9 @@
   }
   if (FailedPolls >= Options.MaxFailedPolls && monoNow() >= LatestLeaseEnd &&
       !TrackedRuns.empty()) {
-    Log("server", "leases_lapsed",
-        "server={} born={} runs={} ended_ms_ago={} unbounded={}",
+    Log("server", "leases_lapsed", "server={} born={} runs={} ended_ms_ago={}",
         Incarnation.Id.str(), Incarnation.StartedAtMs, TrackedRuns.size(),
-        (monoNow() - LatestLeaseEnd).count(), UnboundedLeases);
+        (monoNow() - LatestLeaseEnd).count());
     TrackedRuns.clear();
     Notify.LeasesExpired(Incarnation);
   }
@@ -108,15 +108,14 @@
 void ServerLink::applyLists(MonoTime sentAt, const PollAnswer &answer) {
   const MonoTime now = monoNow();
   const std::uint64_t before = ReceivedUpTo;
-  const bool first = !std::exchange(Synchronized, true);
+  Synchronized = true;
   for (const ListedRun &it : answer.Running)
     applyRunning(it, now);
   for (const RunEndReport &it : answer.Ended)
     if (it.Number > ReceivedUpTo)
       applyRunEnd(it, now);
   reportMissingRuns(sentAt, answer, now);
-  if (first)
-    sendUnconfirmedStarts();
+  sendUnconfirmedStarts();
   stopObsoleteRuns();
   if (ReceivedUpTo > before)
     Notify.Changed();
@@ -132,12 +131,28 @@
 void ServerLink::sendUnconfirmedStarts() {
   std::vector<TaskName> unconfirmed;
   for (const auto &[task, it] : TrackedRuns)
-    if (!it.StartConfirmedAt && !it.StartInFlight)
+    if (!it.StartConfirmedAt && !it.StartInFlight && !it.RetryTimer.pending())
       unconfirmed.push_back(task);
   for (const TaskName &it : unconfirmed)
     sendStart(it);
 }
 
+void ServerLink::returnUnsentStarts() {
+  std::vector<std::pair<TaskName, std::uint32_t>> unsent;
+  for (const auto &[task, it] : TrackedRuns)
+    if (it.startNeverSent())
+      unsent.emplace_back(task, it.Order.Run);
+  for (const auto &[task, run] : unsent) {
+    Log("order", "start_returned", "task={} run={} server={}", task.str(), run,
+        Incarnation.Id.str());
+    TrackedRuns.erase(task);
+    Planner.recordStartRefusal(task, run, Incarnation, StartRefusal::NoRoom,
+                               monoNow());
+  }
+  if (!unsent.empty())
+    Notify.Changed();
+}
+
 void ServerLink::stopObsoleteRuns() {
   // Covers stops that were decided before this link existed.
   std::vector<StopOrder> obsolete;
