Count a read without records as of its wait's end, not of its arrival

Cause: TopicReader took the arrival of an answer without records as the time up to which the topic was read. The store gives that answer when the wait that was asked for ends; the answer may arrive much later.

What callers would see: a state that is older than the limit of a query is told as current, and the owner takes a report of a server as newer than it is (a departure is concluded from that time).

Ruled out: answers with records; they count from the sending since before.

The test late_answer_without_records_claims_no_later_records failed before the fix: "critical check (*reader.currentAsOf() <= *appendedAt) has failed".

Why it works: a read that returns no record was answered after its wait, and the wait began at the store after the sending, so the sending plus the wait is a lower bound.

--- a/packages/store/include/citrongap/store/topic_reader.h
+++ b/packages/store/include/citrongap/store/topic_reader.h
@@ -94,7 +94,8 @@
   void retryLoad();
   void onLatestPage(StoreResult<LatestValuesPage> result);
   void readNext();
-  void onPage(MonoTime sentAt, StoreResult<TopicPage> result);
+  /// `wait`: how long the read was to wait at the store.
+  void onPage(MonoTime sentAt, Millis wait, StoreResult<TopicPage> result);
   void schedule(Millis wait, std::function<void()> callback);
   void recordFailure(const StoreError &error);
 
--- a/packages/store/src/topic_reader.cpp
+++ b/packages/store/src/topic_reader.cpp
@@ -130,13 +130,14 @@
   // unresponsive connection is detected within the answer timeout.
   const Millis wait = Healthy && CurrentAsOf ? Options.Wait : Millis(0);
   Store.read(Topic, NextOffset, now + wait, now + wait + Options.AnswerTimeout,
-             [this, now, alive = std::weak_ptr<int>(Alive)](auto result) {
+             [this, now, wait, alive = std::weak_ptr<int>(Alive)](auto result) {
                if (alive.lock())
-                 onPage(now, std::move(result));
+                 onPage(now, wait, std::move(result));
              });
 }
 
-void TopicReader::onPage(MonoTime sentAt, StoreResult<TopicPage> result) {
+void TopicReader::onPage(MonoTime sentAt, Millis wait,
+                         StoreResult<TopicPage> result) {
   CallInFlight = false;
   if (!Running)
     return;
@@ -161,11 +162,11 @@
   NextOffset = page.Next;
   for (const KeyedRecord &it : page.Records)
     HandleRecord(it);
-  // An answer with records may show the topic as it was when the call was sent.
+  // The answer may have been given long before it arrived: one with records as
+  // soon as the call was sent, one without when the call had waited.
   if (NextOffset >= page.End)
-    CurrentAsOf = page.Records.empty()
-                      ? monoNow()
-                      : std::max(sentAt, CurrentAsOf.value_or(sentAt));
+    CurrentAsOf =
+        page.Records.empty() ? std::min(sentAt + wait, monoNow()) : sentAt;
   HandleBatch();
   if (Options.ReadInterval.count() > 0 && NextOffset >= page.End)
     schedule(Options.ReadInterval, [this] { readNext(); });
--- a/packages/store/src/topic_reader_test.cpp
+++ b/packages/store/src/topic_reader_test.cpp
@@ -4,6 +4,8 @@
 #include "citrongap/store/topic_reader.h"
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <list>
 #include <map>
 
 using namespace citrongap;
@@ -34,6 +36,29 @@
   void runFor(Millis span) { Loop.runUntil(monoNow() + span); }
 };
 
+/// A view whose answers to reads arrive some time after the store gave them.
+struct LateView : MemoryStoreView {
+  LateView(EventLoop &loop, MemoryStore &store, Millis delay)
+      : MemoryStoreView(store), Loop(loop), Delay(delay) {}
+
+  void read(const TopicId &topic, LogOffset from, MonoTime waitUntil,
+            MonoTime deadline, StoreCallback<TopicPage> done) override {
+    MemoryStoreView::read(
+        topic, from, waitUntil, deadline,
+        [this, done](const StoreResult<TopicPage> &result) {
+          Answers.push_back(
+              Loop.at(monoNow() + Delay, [done, result] { done(result); }));
+          OnAnswered();
+        });
+  }
+
+  EventLoop &Loop;
+  Millis Delay;
+  /// Called when the store has given an answer, before it arrives.
+  std::function<void()> OnAnswered;
+  std::list<Timer> Answers;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(topic_reader, Fixture)
@@ -137,4 +162,29 @@
   BOOST_TEST(seen == 2);
 }
 
+// Guards against an answer that arrives late: the topic counted as current up
+// to its arrival, beyond records that the store had appended meanwhile.
+BOOST_AUTO_TEST_CASE(late_answer_without_records_claims_no_later_records) {
+  LateView late(Loop, Store, Millis(60));
+  std::optional<MonoTime> appendedAt;
+  bool seen = false;
+  TopicReader reader(
+      Loop, late, Topic,
+      TopicReaderOptions{.Wait = Millis(40), .RetryDelay = Millis(5)},
+      [&](const KeyedRecord &) { seen = true; }, [] {});
+  late.OnAnswered = [&] {
+    if (!reader.currentAsOf() || appendedAt)
+      return;
+    appendedAt = monoNow();
+    Store.put(Topic, {"a", "1"});
+  };
+  reader.start();
+  for (int n = 0; n < 400 && !seen; ++n) {
+    runFor(Millis(1));
+    if (appendedAt && !seen)
+      BOOST_REQUIRE((*reader.currentAsOf() <= *appendedAt));
+  }
+  BOOST_TEST(seen);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
