Skip records in order that a load was ahead of

Reading in order goes on at the end as of the first page, so records that are older than what a later page had shown were delivered after it, and the order of a key's values turned round until its last record followed.

What callers would see: the owner takes the earlier incarnation of a server that restarted during a load for a newer one, ends the current one, and starts its runs again elsewhere.

Ruled out: reading on from the end as of the last page, which loses records of keys of earlier pages.

The test key_never_goes_back_after_a_load_of_several_pages failed before the fix: "check seen == expected has failed, collections size mismatch: 6 != 3" (3 2 removed 3 4 5).

Why it works: the store tells the offset of each latest value; records of its key up to there are skipped. Only offsets from after the first page's end are kept. A relayed page carries the offsets at its end: earlier builds ignore them, and without them all records are delivered as before.

--- a/packages/store/include/citrongap/store/memory_store.h
+++ b/packages/store/include/citrongap/store/memory_store.h
@@ -68,11 +68,15 @@
     /// The producer has made a call; the other members are set.
     bool Registered = false;
   };
+  struct LatestRecord {
+    KeyedRecord Record;
+    LogOffset At;
+  };
   struct Topic {
     std::vector<KeyedRecord> Records;
     /// Offset of the first element of `Records`.
     std::uint64_t FirstRetained = 0;
-    std::map<std::string, KeyedRecord> LatestByKey;
+    std::map<std::string, LatestRecord> LatestByKey;
     std::map<std::string, Producer> Producers;
   };
   /// A read that waits for the next record of its topic.
--- a/packages/store/include/citrongap/store/store_port.h
+++ b/packages/store/include/citrongap/store/store_port.h
@@ -62,6 +62,8 @@
 /// Latest values of a topic's keys, in the order of the keys.
 struct LatestValuesPage {
   std::vector<KeyedRecord> Records;
+  /// Offset of each record; empty if a peer of an older build read the page.
+  std::vector<LogOffset> Offsets;
   /// More keys follow the last one of the page.
   bool More = false;
   /// Offset after the topic's last record when the page was read.
--- a/packages/store/include/citrongap/store/topic_reader.h
+++ b/packages/store/include/citrongap/store/topic_reader.h
@@ -11,6 +11,7 @@
 #include "citrongap/store/store_port.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -49,9 +50,9 @@
   /// Receives one record.
   using OnRecord = std::function<void(const KeyedRecord &)>;
 
-  /// `onRecord` gets each record once, except that a record that was loaded as
-  /// the latest value may follow again in order. `onBatch` is called after each
-  /// answer to a read in order.
+  /// `onRecord` gets each record once, and those of a key in their order,
+  /// except that with pages without offsets, records that a load was ahead of
+  /// follow again. `onBatch` is called after each answer to a read in order.
   TopicReader(EventLoop &loop, StorePort &store, TopicId topic,
               TopicReaderOptions options, OnRecord onRecord,
               std::function<void()> onBatch);
@@ -92,6 +93,8 @@
   /// Loads the page after `LoadedUpTo`.
   void loadPage();
   void retryLoad();
+  /// The record of `key` at the offset `at`, or a later one, was loaded.
+  bool wasLoaded(const std::string &key, LogOffset at);
   void onLatestPage(StoreResult<LatestValuesPage> result);
   void readNext();
   /// `wait`: how long the read was to wait at the store.
@@ -113,6 +116,8 @@
   std::string LoadedUpTo;
   /// Keys that the load in progress has found.
   std::set<std::string> LoadedKeys;
+  /// Offsets of loaded values from after `LoadEnd`, by key.
+  std::map<std::string, LogOffset> LoadedAhead;
   /// Failures in a row of the load in progress.
   int LoadFailures = 0;
   /// Times `LoadTimeout`; stays raised until the load ends, as the store
--- a/packages/store/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -20,7 +20,8 @@
 void MemoryStore::put(const TopicId &topic, KeyedRecord record) {
   Topic &it = Topics[topic];
   if (record.Value)
-    it.LatestByKey[record.Key] = record;
+    it.LatestByKey[record.Key] = {
+        record, LogOffset(it.FirstRetained + it.Records.size())};
   else
     it.LatestByKey.erase(record.Key);
   it.Records.push_back(std::move(record));
@@ -210,8 +211,9 @@
       page.More = true;
       break;
     }
-    page.Records.push_back(at->second);
-    bytes += at->first.size() + at->second.Value->size();
+    page.Records.push_back(at->second.Record);
+    page.Offsets.push_back(at->second.At);
+    bytes += at->first.size() + at->second.Record.Value->size();
   }
   MonoTime firstByteAt;
   const MonoTime lastByteAt = transfer(bytes, firstByteAt);
--- a/packages/store/src/store_relay_codec.cpp
+++ b/packages/store/src/store_relay_codec.cpp
@@ -52,8 +52,17 @@
 template <typename Archive> void serialize(Archive &ar, TopicPage &it) {
   ar(it.FirstRetained, it.End, it.Records, it.Next);
 }
-template <typename Archive> void serialize(Archive &ar, LatestValuesPage &it) {
+template <typename Archive> void save(Archive &ar, const LatestValuesPage &it) {
+  ar(it.Records, it.More, it.End, it.Offsets);
+}
+template <typename Archive> void load(Archive &ar, LatestValuesPage &it) {
   ar(it.Records, it.More, it.End);
+  // Builds from before the field end here.
+  try {
+    ar(it.Offsets);
+  } catch (const cereal::Exception &) {
+    it.Offsets.clear();
+  }
 }
 template <typename Archive> void serialize(Archive &ar, GroupMembership &it) {
   ar(it.Generation, it.IsOwner);
--- a/packages/store/src/store_relay_test.cpp
+++ b/packages/store/src/store_relay_test.cpp
@@ -186,6 +186,28 @@
   BOOST_TEST((std::get<ReadLatestCall>(*earlier).Size == ReadSize::Bulk));
 }
 
+BOOST_AUTO_TEST_CASE(page_of_an_earlier_build_has_no_offsets) {
+  LatestValuesPage page;
+  page.Records = {{"a", "1"}, {"b", std::nullopt}};
+  page.Offsets = {LogOffset(3), LogOffset(4)};
+  page.End = LogOffset(7);
+  const auto read = [](const std::string &bytes) {
+    const auto reply = decodeStoreReply(bytes);
+    BOOST_REQUIRE(reply);
+    return std::get<LatestValuesPage>(*reply);
+  };
+  const std::string now = encode(StoreReply(page));
+  BOOST_TEST((read(now).Offsets == page.Offsets));
+  // A count and two offsets of 8 bytes each.
+  const LatestValuesPage earlier = read(now.substr(0, now.size() - 24));
+  BOOST_TEST((earlier.Records == page.Records));
+  BOOST_TEST((earlier.End == page.End));
+  BOOST_TEST(earlier.Offsets.empty());
+  BOOST_TEST(read(now.substr(0, now.size() - 1)).Offsets.empty());
+  // What a later build adds is ignored, as an earlier one ignores the offsets.
+  BOOST_TEST((read(now + "more").Offsets == page.Offsets));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_call_is_refused) {
   std::optional<StoreReply> reply;
   serveStoreCall(Served, "nonsense", monoNow(),
--- a/packages/store/src/topic_reader.cpp
+++ b/packages/store/src/topic_reader.cpp
@@ -22,6 +22,7 @@
   LoadEnd.reset();
   LoadedUpTo.clear();
   LoadedKeys.clear();
+  LoadedAhead.clear();
   LoadFailures = 0;
   LoadTimeoutFactor = 1;
   loadPage();
@@ -83,12 +84,15 @@
   if (!LoadEnd) {
     if (OnReload)
       OnReload();
-    // The pages are not one snapshot: they may hold records from after the
-    // first page's end. These records are read again in order.
     LoadEnd = page.End;
   }
-  for (const KeyedRecord &it : page.Records) {
+  for (std::size_t n = 0; n < page.Records.size(); ++n) {
+    const KeyedRecord &it = page.Records[n];
     LoadedKeys.insert(it.Key);
+    // The pages are not one snapshot: they may hold records from after the
+    // first page's end, where reading in order goes on.
+    if (n < page.Offsets.size() && page.Offsets[n] >= *LoadEnd)
+      LoadedAhead[it.Key] = page.Offsets[n];
     HandleRecord(it);
   }
   if (page.More && !page.Records.empty()) {
@@ -136,6 +140,16 @@
              });
 }
 
+bool TopicReader::wasLoaded(const std::string &key, LogOffset at) {
+  const auto loaded = LoadedAhead.find(key);
+  if (loaded == LoadedAhead.end())
+    return false;
+  const bool skip = at <= loaded->second;
+  if (at >= loaded->second)
+    LoadedAhead.erase(loaded);
+  return skip;
+}
+
 void TopicReader::onPage(MonoTime sentAt, Millis wait,
                          StoreResult<TopicPage> result) {
   CallInFlight = false;
@@ -159,9 +173,12 @@
   if (!Healthy && OnHealth)
     OnHealth(true, "");
   Healthy = true;
-  NextOffset = page.Next;
-  for (const KeyedRecord &it : page.Records)
-    HandleRecord(it);
+  LogOffset at = std::exchange(NextOffset, page.Next);
+  for (const KeyedRecord &it : page.Records) {
+    if (!wasLoaded(it.Key, at))
+      HandleRecord(it);
+    at = at.next();
+  }
   // The answer may have been given long before it arrived: one with records as
   // soon as the call was sent, one without when the call had waited.
   if (NextOffset >= page.End)
--- a/packages/store/src/topic_reader_test.cpp
+++ b/packages/store/src/topic_reader_test.cpp
@@ -162,6 +162,34 @@
   BOOST_TEST(seen == 2);
 }
 
+// Guards against a load whose later pages are ahead of the first one: the
+// records in order after it led a key back to earlier values.
+BOOST_AUTO_TEST_CASE(key_never_goes_back_after_a_load_of_several_pages) {
+  for (int n = 0; n < 8; ++n)
+    Store.put(Topic, {"k" + std::to_string(n), "1"});
+  std::vector<std::string> seen;
+  TopicReader reader(
+      Loop, View, Topic,
+      TopicReaderOptions{.Wait = Millis(40), .RetryDelay = Millis(5)},
+      [&](const KeyedRecord &it) {
+        if (it.Key == "k7")
+          seen.push_back(it.Value.value_or("removed"));
+      },
+      [] {});
+  reader.OnReload = [&] {
+    Store.put(Topic, {"k7", "2"});
+    Store.put(Topic, {"k7", std::nullopt});
+    Store.put(Topic, {"k7", "3"});
+  };
+  reader.start();
+  runFor(Millis(30));
+  Store.put(Topic, {"k7", "4"});
+  Store.put(Topic, {"k7", "5"});
+  runFor(Millis(30));
+  const std::vector<std::string> expected{"3", "4", "5"};
+  BOOST_TEST(seen == expected, boost::test_tools::per_element());
+}
+
 // Guards against an answer that arrives late: the topic counted as current up
 // to its arrival, beyond records that the store had appended meanwhile.
 BOOST_AUTO_TEST_CASE(late_answer_without_records_claims_no_later_records) {
