Order the incarnations of a server by their start

Cause: onServerRecord took any other incarnation of a server's id for the next one, also one that started earlier, ended the known one for good and started its runs elsewhere. Where entries name a machine, an entry with an earlier start ended its incarnation for good instead, also if the server's clock was set back before it restarted.

What callers would see: a task runs twice after a late entry of an earlier life; a server whose clock was set back gets no work until the next change of owner.

Ending the known incarnation by any entry once it is unreachable: a late entry during a cut would move its runs before its leases end.

Failing runs before the fix (server_list_test): entry_of_an_earlier_life_moves_ no_run 'Fleet.started() == 1U has failed [2 != 1]'; server_with_a_clock_set_ back_is_used_again '[0 != 1]'; run_starts_again_on_a_server_with_a_clock_set_ back '[1 != 2]'.

Why it works: an entry with an earlier start never replaces an incarnation that runs are placed on. These end with an answer of another incarnation or with their leases; then, or if the known one has none and has not reported for the report timeout, the entry is taken. An incarnation that was replaced so may return, but its start no longer proves that it is the next one. later_life_ends_ the_earlier_one_at_once holds before and after.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -79,9 +79,15 @@
   void activate();
   void loadJob(const WorkId &id);
   void onServerRecord(const KeyedRecord &record);
-  /// Whether the entry belongs to an ended incarnation. An entry of a new
-  /// incarnation ends the previous one on its machine.
-  bool hasEnded(const ServerEntry &entry);
+  /// Known incarnations of the entry's server and machine that can't run beside
+  /// the entry's one.
+  std::set<ServerIncarnation> rivalsOf(const ServerEntry &entry) const;
+  /// Drops the incarnations that the entry's one replaces; false if the entry
+  /// is of an earlier one.
+  bool replaceRivals(const ServerEntry &entry);
+  /// `other` started later than `known`, or `known` is silent without runs.
+  bool mayReplace(const ServerIncarnation &known,
+                  const ServerIncarnation &other) const;
   void addLink(const ServerEntry &entry);
   void dropServer(const ServerIncarnation &incarnation, const char *reason);
   void onEntryRemoved(const BackendServerId &id);
@@ -141,10 +147,15 @@
   /// The latest report of a server was appended after this time; without an
   /// entry, the time is not known.
   std::map<BackendServerId, MonoTime> ReportedAfter;
-  /// The incarnation that started last on each machine.
+  /// When an entry of each listed incarnation was last read.
+  std::map<ServerIncarnation, MonoTime> LastReadAt;
+  /// The current incarnation on each machine.
   std::map<std::string, ServerIncarnation> LatestIncarnations;
   /// Incarnations that have ended; stale entries of them may still be read.
   std::set<ServerIncarnation> EndedIncarnations;
+  /// Incarnations that one with an earlier start has replaced. Their start
+  /// proves no order any more.
+  std::set<ServerIncarnation> ReplacedByEarlier;
   std::map<ClientAccountId, std::int64_t> Guarantees;
   std::set<DataCentreId> Evacuated;
   /// The jobs topic must be read up to here before the owner becomes active.
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -35,7 +35,7 @@
 }
 
 inline Checked<ServerEntry> readServer(const KeyedRecord &record) {
-  // "STATE" or "STATE START MACHINE".
+  // "STATE", "STATE START" or "STATE START MACHINE".
   if (record.Value == "odd") {
     Findings findings;
     findings.add("/", "of another writer");
@@ -46,8 +46,7 @@
   std::int64_t startedAt = 1;
   ServerEntry entry;
   value >> state >> startedAt >> entry.Machine;
-  entry.Incarnation = {BackendServerId(record.Key),
-                       entry.Machine.empty() ? 1 : startedAt};
+  entry.Incarnation = {BackendServerId(record.Key), startedAt};
   entry.Service = "render";
   entry.Rack = RackId("r1");
   // "i-1" is in "dc-1".
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -112,8 +112,10 @@
   ListedServers.clear();
   MissingSince.clear();
   ReportedAfter.clear();
+  LastReadAt.clear();
   LatestIncarnations.clear();
   EndedIncarnations.clear();
+  ReplacedByEarlier.clear();
   // Callbacks of the appender and the links may be on the stack.
   RoundTimer = Loop.at(monoNow(), [this] { runRound(); });
   if (Appender) {
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -21,24 +21,19 @@
         std::get<Findings>(read).text());
     return;
   }
-  if (hasEnded(*entry))
+  if (EndedIncarnations.contains(entry->Incarnation) || !replaceRivals(*entry))
     return;
+  LastReadAt[entry->Incarnation] = monoNow();
   noteReport(id);
   MissingSince.erase(id);
   Planner->setListed(id, true);
   const auto known = ListedServers.find(id);
   if (known != ListedServers.end() && known->second == *entry)
     return;
-  if (known == ListedServers.end() ||
-      known->second.Incarnation != entry->Incarnation ||
-      known->second.Draining != entry->Draining)
+  if (known == ListedServers.end() || known->second.Draining != entry->Draining)
     Log("servers", "entry", "server={} born={} draining={} leaves_in_ms={}",
         id.str(), entry->Incarnation.StartedAtMs, entry->Draining,
         entry->DrainRemainingMs);
-  if (known != ListedServers.end() &&
-      known->second.Incarnation != entry->Incarnation)
-    dropServer(ServerIncarnation(known->second.Incarnation),
-               "the server restarted");
   ListedServers[id] = *entry;
   if (Active)
     addLink(*entry);
@@ -76,27 +71,53 @@
     ReportedAfter.erase(id);
 }
 
-bool PodController::hasEnded(const ServerEntry &entry) {
-  if (EndedIncarnations.contains(entry.Incarnation))
-    return true;
-  if (entry.Machine.empty())
-    return false;
-  // A machine runs one incarnation at a time: the one that started last.
-  const auto [it, added] =
-      LatestIncarnations.try_emplace(entry.Machine, entry.Incarnation);
-  const ServerIncarnation latest = it->second;
-  if (added || latest == entry.Incarnation)
-    return false;
-  if (entry.Incarnation.StartedAtMs < latest.StartedAtMs) {
-    Log("servers", "entry_of_a_past_life", "server={} born={} latest={}",
-        entry.Incarnation.Id.str(), entry.Incarnation.StartedAtMs,
-        latest.Id.str());
-    EndedIncarnations.insert(entry.Incarnation);
-    return true;
+std::set<ServerIncarnation>
+PodController::rivalsOf(const ServerEntry &entry) const {
+  std::set<ServerIncarnation> rivals;
+  const auto listed = ListedServers.find(entry.Incarnation.Id);
+  if (listed != ListedServers.end())
+    rivals.insert(listed->second.Incarnation);
+  const auto latest = LatestIncarnations.find(entry.Machine);
+  if (latest != LatestIncarnations.end() &&
+      !EndedIncarnations.contains(latest->second))
+    rivals.insert(latest->second);
+  rivals.erase(entry.Incarnation);
+  return rivals;
+}
+
+bool PodController::replaceRivals(const ServerEntry &entry) {
+  const ServerIncarnation &added = entry.Incarnation;
+  const std::set<ServerIncarnation> rivals = rivalsOf(entry);
+  for (const ServerIncarnation &it : rivals)
+    if (!mayReplace(it, added)) {
+      Log("servers", "entry_of_a_past_life", "server={} born={} latest={}",
+          added.Id.str(), added.StartedAtMs, it.Id.str());
+      return false;
+    }
+  for (const ServerIncarnation &it : rivals) {
+    dropServer(it, it.Id == added.Id ? "the server restarted"
+                                     : "its machine runs another server");
+    if (added.StartedAtMs < it.StartedAtMs) {
+      // Not certain to have ended: it may only have been silent.
+      EndedIncarnations.erase(it);
+      ReplacedByEarlier.insert(it);
+    }
   }
-  it->second = entry.Incarnation;
-  dropServer(latest, "its machine runs another server");
-  return false;
+  if (!entry.Machine.empty())
+    LatestIncarnations.insert_or_assign(entry.Machine, added);
+  return true;
+}
+
+bool PodController::mayReplace(const ServerIncarnation &known,
+                               const ServerIncarnation &other) const {
+  if (other.StartedAtMs >= known.StartedAtMs &&
+      !ReplacedByEarlier.contains(other))
+    return true;
+  // A late entry, or the server's clock was set back before it restarted.
+  const auto read = LastReadAt.find(known);
+  const bool silent = read == LastReadAt.end() ||
+                      monoNow() - read->second >= Options.ReportTimeout;
+  return Active && silent && Planner->runsPlacedOn(known).empty();
 }
 
 void PodController::addLink(const ServerEntry &entry) {
@@ -156,6 +177,7 @@
       listed->second.Incarnation == incarnation)
     ListedServers.erase(listed);
   MissingSince.erase(incarnation.Id);
+  LastReadAt.erase(incarnation);
   if (Planner)
     Planner->removeIncarnation(incarnation, monoNow());
   scheduleRound();
--- /dev/null
+++ b/packages/control/src/server_list_test.cpp
@@ -0,0 +1,84 @@
+// The owner's view of the server list: neither an entry of an earlier life nor
+// an entry that lapsed makes the owner start a task that still runs.
+#include "entry_site.h"
+
+using namespace citrongap;
+using namespace citrongap::testing;
+
+namespace {
+
+/// Leases outlast a test unless it waits for their end.
+struct ListSite : EntrySite {
+  ListSite() : EntrySite(Millis(800)) {}
+
+  void list(const std::string &id, const std::string &entry) {
+    Store.put(Servers, {id, entry});
+    runFor(Millis(60));
+  }
+  /// The server reports for longer than a server may be silent.
+  void report(const std::string &id, const std::string &entry) {
+    for (int n = 0; n < 5; ++n)
+      list(id, entry);
+  }
+  /// The job runs on `id`; "i-1" is no longer listed if it is another server.
+  void startOn(const std::string &id, const std::string &entry) {
+    if (id != "i-1")
+      Store.put(Servers, {"i-1", std::nullopt});
+    list(id, entry);
+    BOOST_TEST(submit("vm-1") == "accepted");
+    runFor(Millis(60));
+    BOOST_REQUIRE(Fleet.at(id).Running.size() == 1U);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(server_list, ListSite)
+
+// Guards against a late entry of a server's earlier life that ends its current
+// one for the owner, which starts its runs elsewhere.
+BOOST_AUTO_TEST_CASE(entry_of_an_earlier_life_moves_no_run) {
+  startOn("i-1", "ready 5");
+  Store.put(Servers, {"i-2", "ready"});
+  report("i-1", "draining 3");
+  BOOST_TEST(Fleet.started() == 1U);
+  list("i-1", "ready 5");
+  BOOST_TEST(Fleet.started() == 1U);
+  BOOST_TEST(Fleet.running() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(later_life_ends_the_earlier_one_at_once) {
+  startOn("i-1", "ready 1");
+  Fleet.at("i-1").Unreachable = true;
+  Store.put(Servers, {"i-2", "ready"});
+  list("i-1", "draining 5");
+  runFor(Millis(60));
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+// Guards against a server that is lost for good since its clock was set back
+// before it restarted.
+BOOST_AUTO_TEST_CASE(server_with_a_clock_set_back_is_used_again) {
+  Store.put(Servers, {"i-1", std::nullopt});
+  list("i-3", "draining 5 m-1");
+  report("i-3", "ready 1 m-1");
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(100));
+  BOOST_TEST(Fleet.at("i-3").Started.size() == 1U);
+  // A late entry of the life before has a later start, but ends nothing.
+  Store.put(Servers, {"i-2", "ready"});
+  list("i-3", "draining 5 m-1");
+  runFor(Millis(60));
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
+// The same, with a run that ended with the earlier life of the server.
+BOOST_AUTO_TEST_CASE(run_starts_again_on_a_server_with_a_clock_set_back) {
+  startOn("i-3", "ready 5 m-1");
+  Fleet.ReportedStartMs = 1;
+  Fleet.at("i-3").Running.clear();
+  report("i-3", "ready 1 m-1");
+  BOOST_TEST(Fleet.at("i-3").Started.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
