Take only a later incarnation as the end of unlisted runs

Cause: releaseUnlistedRuns took any listed incarnation of a server's id as a proof that the one that inherited runs are placed on has ended, also one that started earlier.

What callers would see: a new owner that reads a late entry of an earlier life starts the server's runs elsewhere at once, while they run under leases of the owner before.

The test new_owner_keeps_runs_when_an_earlier_life_is_listed failed before the fix: 'Fleet.started() == 1U has failed [2 != 1]'.

Why it works: only an incarnation that started later, or one known to have ended, releases the runs before the inherited leases end.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -88,6 +88,8 @@
   /// `other` started later than `known`, or `known` is silent without runs.
   bool mayReplace(const ServerIncarnation &known,
                   const ServerIncarnation &other) const;
+  /// It is known to have ended, or one that started later is listed.
+  bool hasEnded(const ServerIncarnation &incarnation) const;
   void addLink(const ServerEntry &entry);
   void dropServer(const ServerIncarnation &incarnation, const char *reason);
   void onEntryRemoved(const BackendServerId &id);
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -120,6 +120,14 @@
   return Active && silent && Planner->runsPlacedOn(known).empty();
 }
 
+bool PodController::hasEnded(const ServerIncarnation &incarnation) const {
+  if (EndedIncarnations.contains(incarnation))
+    return true;
+  const auto listed = ListedServers.find(incarnation.Id);
+  return listed != ListedServers.end() &&
+         listed->second.Incarnation.StartedAtMs > incarnation.StartedAtMs;
+}
+
 void PodController::addLink(const ServerEntry &entry) {
   const MonoTime now = monoNow();
   Planner->putServer(entry, now);
@@ -218,9 +226,9 @@
   for (const ServerIncarnation &incarnation : Planner->incarnationsWithRuns()) {
     if (Links.contains(incarnation))
       continue;
-    // An incarnation has ended once the next one of its server is listed.
-    // Otherwise, leases that an earlier owner renewed must expire first.
-    if (!ListedServers.contains(incarnation.Id) && now < inheritedLeaseEnd())
+    // Unless it has ended, leases that an earlier owner renewed must expire
+    // first.
+    if (!hasEnded(incarnation) && now < inheritedLeaseEnd())
       continue;
     Log("servers", "unlisted_runs_released", "server={} born={}",
         incarnation.Id.str(), incarnation.StartedAtMs);
--- a/packages/control/src/server_list_test.cpp
+++ b/packages/control/src/server_list_test.cpp
@@ -11,6 +11,8 @@
 struct ListSite : EntrySite {
   ListSite() : EntrySite(Millis(800)) {}
 
+  /// Waits until the leases that the owner knows of have ended.
+  void awaitLeaseEnd() { runFor(Millis(1500)); }
   void list(const std::string &id, const std::string &entry) {
     Store.put(Servers, {id, entry});
     runFor(Millis(60));
@@ -47,6 +49,20 @@
   BOOST_TEST(Fleet.running() == 1U);
 }
 
+// Guards against a new owner that takes a late entry of a server's earlier life
+// as a proof that the life that its runs are placed on has ended.
+BOOST_AUTO_TEST_CASE(new_owner_keeps_runs_when_an_earlier_life_is_listed) {
+  startOn("i-1", "ready 5");
+  kill("vm-1");
+  Fleet.at("i-1").Unreachable = true;
+  Store.put(Servers, {"i-1", "ready 1"});
+  Store.put(Servers, {"i-2", "ready"});
+  runFor(Millis(500));
+  BOOST_TEST(Fleet.started() == 1U);
+  awaitLeaseEnd();
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(later_life_ends_the_earlier_one_at_once) {
   startOn("i-1", "ready 1");
   Fleet.at("i-1").Unreachable = true;
