Conclude no departure across an outage of the store

Cause: an entry that is removed within the report timeout after the server's last report counted as removed by the server itself. An outage of the store may let entries lapse, and the owner may read on before the timeout is over.

What callers would see: the run of a draining server that the owner can't reach starts elsewhere at once, while it still runs there.

The times that the conclusion rests on were checked: the report's time is that of the read before it, a lower bound since reads without records count from the end of their wait; the removal's is its arrival, an upper bound.

The tests entry_that_lapsed_during_an_outage_is_no_departure and entry_that_lapsed_between_reads_is_no_departure failed before the fix: 'Fleet.started() == 1U has failed [2 != 1]' in each.

Why it works: a failed read, or a gap of more than three read intervals between reads, forgets the reports before it, and the removal must be read within such a gap too. Without a report the leases are waited for.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -35,6 +35,10 @@
   /// The store removes the entry of a server that has not reported for this
   /// long; the platform's three report intervals, less a tenth.
   Millis ReportTimeout{4050};
+  /// Longest time from one read of the server list to the next in which no
+  /// outage of the store goes unnoticed: three read intervals, so that a store
+  /// that takes 400 ms is within it.
+  Millis MaxReadGap{750};
   /// Time to wait for a missing entry to return; the platform's bound.
   Millis EntryReturnTimeout{3000};
 };
@@ -96,6 +100,9 @@
   /// Entries that were removed while the owner did not read are not among the
   /// keys of a load.
   void onServersLoaded(const std::set<std::string> &keys);
+  /// After a gap between reads, in which entries may have lapsed with an outage
+  /// of the store, earlier reports prove no departure.
+  void onServersRead();
   /// Notes when the record of `id` that is being read was appended.
   void noteReport(const BackendServerId &id);
   /// Removes unreachable servers whose entry is missing: draining ones that
@@ -142,13 +149,16 @@
   struct MissingEntry {
     MonoTime Since;
     /// The entry was removed sooner after a report than silence would have it
-    /// removed, so the server removed it itself.
+    /// removed, and the store was read without a failure or gap in between, so
+    /// the server removed it itself.
     bool Deregistered = false;
   };
   std::map<BackendServerId, MissingEntry> MissingSince;
-  /// The latest report of a server was appended after this time; without an
-  /// entry, the time is not known.
+  /// The latest report of a server was appended after this time, and the store
+  /// was read without a failure or gap since; otherwise there is no entry.
   std::map<BackendServerId, MonoTime> ReportedAfter;
+  /// Time as of which the server list was last read.
+  std::optional<MonoTime> ServersReadAsOf;
   /// When an entry of each listed incarnation was last read.
   std::map<ServerIncarnation, MonoTime> LastReadAt;
   /// The current incarnation on each machine.
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -113,7 +113,8 @@
       out.Controller.TickInterval = Millis(10);
       out.Controller.ServerListInterval = Millis(20);
       out.Controller.OwnershipTimeout = Millis(150);
-      out.Controller.ReportTimeout = Millis(100);
+      out.Controller.ReportTimeout = site.ReportTimeout;
+      out.Controller.MaxReadGap = site.MaxReadGap;
       out.Controller.Link.AnswerTimeout = Millis(40);
       out.Controller.Link.RetryDelay = Millis(10);
       out.Controller.Link.MaxLease = site.MaxLease;
@@ -127,6 +128,11 @@
   std::map<std::string, std::unique_ptr<Vm>> Vms;
   /// Longest lease that the entry VMs request.
   Millis MaxLease;
+  /// Silence after which a server's entry is removed, for entry VMs that are
+  /// added later.
+  Millis ReportTimeout{100};
+  /// Longest gap between their reads of the server list that hides no outage.
+  Millis MaxReadGap{100};
   /// Interval of reads of the jobs topic, for entry VMs that are added later.
   Millis ReaderInterval{5};
   /// Entry VMs that are added later get no pages of more than this many bytes.
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -35,7 +35,14 @@
           TopicReaderOptions{.Wait = Millis(0),
                              .ReadInterval = options.ServerListInterval},
           [this](const KeyedRecord &it) { onServerRecord(it); },
-          [this] { scheduleRound(); }) {
+          [this] {
+            onServersRead();
+            scheduleRound();
+          }) {
+  ServersReader.OnHealth = [this](bool healthy, const std::string &) {
+    if (!healthy)
+      ReportedAfter.clear();
+  };
   ServersReader.OnLoaded = [this](const std::set<std::string> &keys) {
     onServersLoaded(keys);
   };
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -41,11 +41,13 @@
 
 void PodController::onEntryRemoved(const BackendServerId &id) {
   if (ListedServers.contains(id)) {
+    const MonoTime now = monoNow();
     const auto report = ReportedAfter.find(id);
-    const bool deregistered =
-        report != ReportedAfter.end() &&
-        monoNow() - report->second < Options.ReportTimeout;
-    MissingSince.try_emplace(id, MissingEntry{monoNow(), deregistered});
+    const auto previousRead = ServersReader.currentAsOf();
+    const bool deregistered = report != ReportedAfter.end() && previousRead &&
+                              now - report->second < Options.ReportTimeout &&
+                              now - *previousRead <= Options.MaxReadGap;
+    MissingSince.try_emplace(id, MissingEntry{now, deregistered});
   }
   ReportedAfter.erase(id);
   Planner->setListed(id, false);
@@ -62,6 +64,13 @@
   }
 }
 
+void PodController::onServersRead() {
+  const auto asOf = ServersReader.currentAsOf();
+  if (asOf && ServersReadAsOf && *asOf - *ServersReadAsOf > Options.MaxReadGap)
+    ReportedAfter.clear();
+  ServersReadAsOf = asOf;
+}
+
 void PodController::noteReport(const BackendServerId &id) {
   // A record that is read in order was appended after the previous read.
   const auto previousRead = ServersReader.currentAsOf();
--- a/packages/control/src/server_list_test.cpp
+++ b/packages/control/src/server_list_test.cpp
@@ -2,6 +2,8 @@
 // an entry that lapsed makes the owner start a task that still runs.
 #include "entry_site.h"
 
+#include <thread>
+
 using namespace citrongap;
 using namespace citrongap::testing;
 
@@ -31,6 +33,22 @@
     runFor(Millis(60));
     BOOST_REQUIRE(Fleet.at(id).Running.size() == 1U);
   }
+  /// The job runs on "i-1", which is draining and cut off, under an owner whose
+  /// report timeout is long; "i-2" is free.
+  void startUnderSlowReports() {
+    ReportTimeout = Millis(600);
+    MaxReadGap = Millis(50);
+    add("vm-3");
+    kill("vm-1");
+    kill("vm-2");
+    runFor(Millis(200));
+    BOOST_TEST(submit("vm-3") == "accepted");
+    runFor(Millis(60));
+    Store.put(Servers, {"i-2", "ready"});
+    list("i-1", "draining");
+    BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+    Fleet.at("i-1").Unreachable = true;
+  }
 };
 
 } // namespace
@@ -97,4 +115,29 @@
   BOOST_TEST(Fleet.at("i-3").Started.size() == 2U);
 }
 
+// Guards against a short outage of the store that lets the entry of a draining
+// server lapse: its runs started elsewhere as if it had left.
+BOOST_AUTO_TEST_CASE(entry_that_lapsed_during_an_outage_is_no_departure) {
+  startUnderSlowReports();
+  Vms.at("vm-3")->View.Faults.Busy = true;
+  runFor(Millis(60));
+  Store.put(Servers, {"i-1", std::nullopt});
+  Vms.at("vm-3")->View.Faults.Busy = false;
+  runFor(Millis(300));
+  BOOST_TEST(Fleet.started() == 1U);
+  awaitLeaseEnd();
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+// The same, with an outage that falls between two reads of the owner.
+BOOST_AUTO_TEST_CASE(entry_that_lapsed_between_reads_is_no_departure) {
+  startUnderSlowReports();
+  std::this_thread::sleep_for(Millis(60));
+  Store.put(Servers, {"i-1", std::nullopt});
+  runFor(Millis(200));
+  BOOST_TEST(Fleet.started() == 1U);
+  awaitLeaseEnd();
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
