--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -21,24 +21,19 @@
         std::get<Findings>(read).text());
     return;
   }
-  if (hasEnded(*entry))
+  if (EndedIncarnations.contains(entry->Incarnation) || !replaceRivals(*entry))
     return;
+  LastReadAt[entry->Incarnation] = monoNow();
   noteReport(id);
   MissingSince.erase(id);
   Planner->setListed(id, true);
   const auto known = ListedServers.find(id);
   if (known != ListedServers.end() && known->second == *entry)
     return;
-  if (known == ListedServers.end() ||
-      known->second.Incarnation != entry->Incarnation ||
-      known->second.Draining != entry->Draining)
+  if (known == ListedServers.end() || known->second.Draining != entry->Draining)
     Log("servers", "entry", "server={} born={} draining={} leaves_in_ms={}",
         id.str(), entry->Incarnation.StartedAtMs, entry->Draining,
         entry->DrainRemainingMs);
-  if (known != ListedServers.end() &&
-      known->second.Incarnation != entry->Incarnation)
-    dropServer(ServerIncarnation(known->second.Incarnation),
-               "the server restarted");
   ListedServers[id] = *entry;
   if (Active)
     addLink(*entry);
@@ -46,11 +41,13 @@
 
 void PodController::onEntryRemoved(const BackendServerId &id) {
   if (ListedServers.contains(id)) {
+    const MonoTime now = monoNow();
     const auto report = ReportedAfter.find(id);
-    const bool deregistered =
-        report != ReportedAfter.end() &&
-        monoNow() - report->second < Options.ReportTimeout;
-    MissingSince.try_emplace(id, MissingEntry{monoNow(), deregistered});
+    const auto previousRead = ServersReader.currentAsOf();
+    const bool deregistered = report != ReportedAfter.end() && previousRead &&
+                              now - report->second < Options.ReportTimeout &&
+                              now - *previousRead <= Options.MaxReadGap;
+    MissingSince.try_emplace(id, MissingEntry{now, deregistered});
   }
   ReportedAfter.erase(id);
   Planner->setListed(id, false);
@@ -67,6 +64,13 @@
   }
 }
 
+void PodController::onServersRead() {
+  const auto asOf = ServersReader.currentAsOf();
+  if (asOf && ServersReadAsOf && *asOf - *ServersReadAsOf > Options.MaxReadGap)
+    ReportedAfter.clear();
+  ServersReadAsOf = asOf;
+}
+
 void PodController::noteReport(const BackendServerId &id) {
   // A record that is read in order was appended after the previous read.
   const auto previousRead = ServersReader.currentAsOf();
@@ -76,27 +80,61 @@
     ReportedAfter.erase(id);
 }
 
-bool PodController::hasEnded(const ServerEntry &entry) {
-  if (EndedIncarnations.contains(entry.Incarnation))
+std::set<ServerIncarnation>
+PodController::rivalsOf(const ServerEntry &entry) const {
+  std::set<ServerIncarnation> rivals;
+  const auto listed = ListedServers.find(entry.Incarnation.Id);
+  if (listed != ListedServers.end())
+    rivals.insert(listed->second.Incarnation);
+  const auto latest = LatestIncarnations.find(entry.Machine);
+  if (latest != LatestIncarnations.end() &&
+      !EndedIncarnations.contains(latest->second))
+    rivals.insert(latest->second);
+  rivals.erase(entry.Incarnation);
+  return rivals;
+}
+
+bool PodController::replaceRivals(const ServerEntry &entry) {
+  const ServerIncarnation &added = entry.Incarnation;
+  const std::set<ServerIncarnation> rivals = rivalsOf(entry);
+  for (const ServerIncarnation &it : rivals)
+    if (!mayReplace(it, added)) {
+      Log("servers", "entry_of_a_past_life", "server={} born={} latest={}",
+          added.Id.str(), added.StartedAtMs, it.Id.str());
+      return false;
+    }
+  for (const ServerIncarnation &it : rivals) {
+    dropServer(it, it.Id == added.Id ? "the server restarted"
+                                     : "its machine runs another server");
+    if (added.StartedAtMs < it.StartedAtMs) {
+      // Not certain to have ended: it may only have been silent.
+      EndedIncarnations.erase(it);
+      ReplacedByEarlier.insert(it);
+    }
+  }
+  if (!entry.Machine.empty())
+    LatestIncarnations.insert_or_assign(entry.Machine, added);
+  return true;
+}
+
+bool PodController::mayReplace(const ServerIncarnation &known,
+                               const ServerIncarnation &other) const {
+  if (other.StartedAtMs >= known.StartedAtMs &&
+      !ReplacedByEarlier.contains(other))
     return true;
-  if (entry.Machine.empty())
-    return false;
-  // A machine runs one incarnation at a time: the one that started last.
-  const auto [it, added] =
-      LatestIncarnations.try_emplace(entry.Machine, entry.Incarnation);
-  const ServerIncarnation latest = it->second;
-  if (added || latest == entry.Incarnation)
-    return false;
-  if (entry.Incarnation.StartedAtMs < latest.StartedAtMs) {
-    Log("servers", "entry_of_a_past_life", "server={} born={} latest={}",
-        entry.Incarnation.Id.str(), entry.Incarnation.StartedAtMs,
-        latest.Id.str());
-    EndedIncarnations.insert(entry.Incarnation);
+  // A late entry, or the server's clock was set back before it restarted.
+  const auto read = LastReadAt.find(known);
+  const bool silent = read == LastReadAt.end() ||
+                      monoNow() - read->second >= Options.ReportTimeout;
+  return Active && silent && Planner->runsPlacedOn(known).empty();
+}
+
+bool PodController::hasEnded(const ServerIncarnation &incarnation) const {
+  if (EndedIncarnations.contains(incarnation))
     return true;
-  }
-  it->second = entry.Incarnation;
-  dropServer(latest, "its machine runs another server");
-  return false;
+  const auto listed = ListedServers.find(incarnation.Id);
+  return listed != ListedServers.end() &&
+         listed->second.Incarnation.StartedAtMs > incarnation.StartedAtMs;
 }
 
 void PodController::addLink(const ServerEntry &entry) {
@@ -156,6 +194,7 @@
       listed->second.Incarnation == incarnation)
     ListedServers.erase(listed);
   MissingSince.erase(incarnation.Id);
+  LastReadAt.erase(incarnation);
   if (Planner)
     Planner->removeIncarnation(incarnation, monoNow());
   scheduleRound();
@@ -196,9 +235,9 @@
   for (const ServerIncarnation &incarnation : Planner->incarnationsWithRuns()) {
     if (Links.contains(incarnation))
       continue;
-    // An incarnation has ended once the next one of its server is listed.
-    // Otherwise, leases that an earlier owner renewed must expire first.
-    if (!ListedServers.contains(incarnation.Id) && now < inheritedLeaseEnd())
+    // Unless it has ended, leases that an earlier owner renewed must expire
+    // first.
+    if (!hasEnded(incarnation) && now < inheritedLeaseEnd())
       continue;
     Log("servers", "unlisted_runs_released", "server={} born={}",
         incarnation.Id.str(), incarnation.StartedAtMs);
--- /dev/null
+++ b/packages/control/src/server_list_test.cpp
@@ -0,0 +1,143 @@
+// The owner's view of the server list: neither an entry of an earlier life nor
+// an entry that lapsed makes the owner start a task that still runs.
+#include "entry_site.h"
+
+#include <thread>
+
+using namespace citrongap;
+using namespace citrongap::testing;
+
+namespace {
+
+/// Leases outlast a test unless it waits for their end.
+struct ListSite : EntrySite {
+  ListSite() : EntrySite(Millis(800)) {}
+
+  /// Waits until the leases that the owner knows of have ended.
+  void awaitLeaseEnd() { runFor(Millis(1500)); }
+  void list(const std::string &id, const std::string &entry) {
+    Store.put(Servers, {id, entry});
+    runFor(Millis(60));
+  }
+  /// The server reports for longer than a server may be silent.
+  void report(const std::string &id, const std::string &entry) {
+    for (int n = 0; n < 5; ++n)
+      list(id, entry);
+  }
+  /// The job runs on `id`; "i-1" is no longer listed if it is another server.
+  void startOn(const std::string &id, const std::string &entry) {
+    if (id != "i-1")
+      Store.put(Servers, {"i-1", std::nullopt});
+    list(id, entry);
+    BOOST_TEST(submit("vm-1") == "accepted");
+    runFor(Millis(60));
+    BOOST_REQUIRE(Fleet.at(id).Running.size() == 1U);
+  }
+  /// The job runs on "i-1", which is draining and cut off, under an owner whose
+  /// report timeout is long; "i-2" is free.
+  void startUnderSlowReports() {
+    ReportTimeout = Millis(600);
+    MaxReadGap = Millis(50);
+    add("vm-3");
+    kill("vm-1");
+    kill("vm-2");
+    runFor(Millis(200));
+    BOOST_TEST(submit("vm-3") == "accepted");
+    runFor(Millis(60));
+    Store.put(Servers, {"i-2", "ready"});
+    list("i-1", "draining");
+    BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+    Fleet.at("i-1").Unreachable = true;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(server_list, ListSite)
+
+// Guards against a late entry of a server's earlier life that ends its current
+// one for the owner, which starts its runs elsewhere.
+BOOST_AUTO_TEST_CASE(entry_of_an_earlier_life_moves_no_run) {
+  startOn("i-1", "ready 5");
+  Store.put(Servers, {"i-2", "ready"});
+  report("i-1", "draining 3");
+  BOOST_TEST(Fleet.started() == 1U);
+  list("i-1", "ready 5");
+  BOOST_TEST(Fleet.started() == 1U);
+  BOOST_TEST(Fleet.running() == 1U);
+}
+
+// Guards against a new owner that takes a late entry of a server's earlier life
+// as a proof that the life that its runs are placed on has ended.
+BOOST_AUTO_TEST_CASE(new_owner_keeps_runs_when_an_earlier_life_is_listed) {
+  startOn("i-1", "ready 5");
+  kill("vm-1");
+  Fleet.at("i-1").Unreachable = true;
+  Store.put(Servers, {"i-1", "ready 1"});
+  Store.put(Servers, {"i-2", "ready"});
+  runFor(Millis(500));
+  BOOST_TEST(Fleet.started() == 1U);
+  awaitLeaseEnd();
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(later_life_ends_the_earlier_one_at_once) {
+  startOn("i-1", "ready 1");
+  Fleet.at("i-1").Unreachable = true;
+  Store.put(Servers, {"i-2", "ready"});
+  list("i-1", "draining 5");
+  runFor(Millis(60));
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+// Guards against a server that is lost for good since its clock was set back
+// before it restarted.
+BOOST_AUTO_TEST_CASE(server_with_a_clock_set_back_is_used_again) {
+  Store.put(Servers, {"i-1", std::nullopt});
+  list("i-3", "draining 5 m-1");
+  report("i-3", "ready 1 m-1");
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(100));
+  BOOST_TEST(Fleet.at("i-3").Started.size() == 1U);
+  // A late entry of the life before has a later start, but ends nothing.
+  Store.put(Servers, {"i-2", "ready"});
+  list("i-3", "draining 5 m-1");
+  runFor(Millis(60));
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
+// The same, with a run that ended with the earlier life of the server.
+BOOST_AUTO_TEST_CASE(run_starts_again_on_a_server_with_a_clock_set_back) {
+  startOn("i-3", "ready 5 m-1");
+  Fleet.ReportedStartMs = 1;
+  Fleet.at("i-3").Running.clear();
+  report("i-3", "ready 1 m-1");
+  BOOST_TEST(Fleet.at("i-3").Started.size() == 2U);
+}
+
+// Guards against a short outage of the store that lets the entry of a draining
+// server lapse: its runs started elsewhere as if it had left.
+BOOST_AUTO_TEST_CASE(entry_that_lapsed_during_an_outage_is_no_departure) {
+  startUnderSlowReports();
+  Vms.at("vm-3")->View.Faults.Busy = true;
+  runFor(Millis(60));
+  Store.put(Servers, {"i-1", std::nullopt});
+  Vms.at("vm-3")->View.Faults.Busy = false;
+  runFor(Millis(300));
+  BOOST_TEST(Fleet.started() == 1U);
+  awaitLeaseEnd();
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+// The same, with an outage that falls between two reads of the owner.
+BOOST_AUTO_TEST_CASE(entry_that_lapsed_between_reads_is_no_departure) {
+  startUnderSlowReports();
+  std::this_thread::sleep_for(Millis(60));
+  Store.put(Servers, {"i-1", std::nullopt});
+  runFor(Millis(200));
+  BOOST_TEST(Fleet.started() == 1U);
+  awaitLeaseEnd();
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/store/src/topic_reader.cpp
+++ b/packages/store/src/topic_reader.cpp
@@ -22,6 +22,7 @@
   LoadEnd.reset();
   LoadedUpTo.clear();
   LoadedKeys.clear();
+  LoadedAhead.clear();
   LoadFailures = 0;
   LoadTimeoutFactor = 1;
   loadPage();
@@ -83,12 +84,15 @@
   if (!LoadEnd) {
     if (OnReload)
       OnReload();
-    // The pages are not one snapshot: they may hold records from after the
-    // first page's end. These records are read again in order.
     LoadEnd = page.End;
   }
-  for (const KeyedRecord &it : page.Records) {
+  for (std::size_t n = 0; n < page.Records.size(); ++n) {
+    const KeyedRecord &it = page.Records[n];
     LoadedKeys.insert(it.Key);
+    // The pages are not one snapshot: they may hold records from after the
+    // first page's end, where reading in order goes on.
+    if (n < page.Offsets.size() && page.Offsets[n] >= *LoadEnd)
+      LoadedAhead[it.Key] = page.Offsets[n];
     HandleRecord(it);
   }
   if (page.More && !page.Records.empty()) {
@@ -130,13 +134,24 @@
   // unresponsive connection is detected within the answer timeout.
   const Millis wait = Healthy && CurrentAsOf ? Options.Wait : Millis(0);
   Store.read(Topic, NextOffset, now + wait, now + wait + Options.AnswerTimeout,
-             [this, now, alive = std::weak_ptr<int>(Alive)](auto result) {
+             [this, now, wait, alive = std::weak_ptr<int>(Alive)](auto result) {
                if (alive.lock())
-                 onPage(now, std::move(result));
+                 onPage(now, wait, std::move(result));
              });
 }
 
-void TopicReader::onPage(MonoTime sentAt, StoreResult<TopicPage> result) {
+bool TopicReader::wasLoaded(const std::string &key, LogOffset at) {
+  const auto loaded = LoadedAhead.find(key);
+  if (loaded == LoadedAhead.end())
+    return false;
+  const bool skip = at <= loaded->second;
+  if (at >= loaded->second)
+    LoadedAhead.erase(loaded);
+  return skip;
+}
+
+void TopicReader::onPage(MonoTime sentAt, Millis wait,
+                         StoreResult<TopicPage> result) {
   CallInFlight = false;
   if (!Running)
     return;
@@ -158,14 +173,17 @@
   if (!Healthy && OnHealth)
     OnHealth(true, "");
   Healthy = true;
-  NextOffset = page.Next;
-  for (const KeyedRecord &it : page.Records)
-    HandleRecord(it);
-  // An answer with records may show the topic as it was when the call was sent.
+  LogOffset at = std::exchange(NextOffset, page.Next);
+  for (const KeyedRecord &it : page.Records) {
+    if (!wasLoaded(it.Key, at))
+      HandleRecord(it);
+    at = at.next();
+  }
+  // The answer may have been given long before it arrived: one with records as
+  // soon as the call was sent, one without when the call had waited.
   if (NextOffset >= page.End)
-    CurrentAsOf = page.Records.empty()
-                      ? monoNow()
-                      : std::max(sentAt, CurrentAsOf.value_or(sentAt));
+    CurrentAsOf =
+        page.Records.empty() ? std::min(sentAt + wait, monoNow()) : sentAt;
   HandleBatch();
   if (Options.ReadInterval.count() > 0 && NextOffset >= page.End)
     schedule(Options.ReadInterval, [this] { readNext(); });
