Soak: series of faults that outlast a lease

Cause: the soak of entry VMs did not find the tasks that run twice. No fault lasted longer than a lease (3 s at most, leases of 6 s); a call that was carried out late had to pass the relay, where a cut held it back until it healed; and 30 faults in 12 s change the owner before the leases that it counts on have ended.

--series N appends 12 s each to the load: the owner is killed, backend servers carry most calls out 1.3 to 3.75 s late without an answer (in the stand-in, so that a cut doesn't hold them back), and half of them are cut off, or lose their answers, for 4.5 to 8.25 s. Leases are then 3 s, tasks work up to 9 s.

The judge also finds an end that is taken after a later run has started, unless the server's lease had expired since the end (the rule TWICE); until now it saw only a start after the end was taken, or beside the run. It also reports an entry VM that is gone by a signal.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 
 # make soak-entry  50 seeds of real entry VMs on the users' platform's protocol
 soak-entry: build
-	@seq $${FIRST:-1000} $${LAST:-1049} | xargs -P 8 -I{} sh -c '$(BUILD)/testing/soak/citrongap_entry_soak --build $(BUILD) --seed {} --faults 30 > /tmp/entry-soak-{}.log 2>&1 || echo "failed: /tmp/entry-soak-{}.log"'
+	@seq $${FIRST:-1000} $${LAST:-1049} | xargs -P 8 -I{} sh -c '$(BUILD)/testing/soak/citrongap_entry_soak --build $(BUILD) --seed {} --faults 30 --series 1 > /tmp/entry-soak-{}.log 2>&1 || echo "failed: /tmp/entry-soak-{}.log"'
 
 # make soak-limits  seeds that failed with 150 entry VMs, and a fresh one (SEED)
 soak-limits: build
--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -16,17 +16,25 @@
 constexpr Millis SlowStore{300};
 /// Longer than entry VMs wait for an answer to an order.
 constexpr Millis LateOrders{1500};
+/// A call of a poll waits for 1200 ms at most, with the lease of a series.
+constexpr Millis LateAtLeast{1300};
+constexpr unsigned LatePercent = 80;
+/// Kinds that are drawn one by one.
+constexpr auto LastDrawn = static_cast<std::uint64_t>(FaultKind::Publish);
+/// A series ends within so many leases.
+constexpr int SeriesLeases = 4;
 
 } // namespace
 
 const char *describe(FaultKind kind) {
-  static constexpr std::array<const char *, 18> Names{
+  static constexpr std::array<const char *, 20> Names{
       "vm killed",          "vm stopped",      "vm paused",
       "vm reloads",         "store busy",      "store silent",
       "store answers lost", "store slow",      "store reset",
       "store rebalances",   "store compacted", "server crashes",
       "server leaves",      "server cut",      "server answers lost",
-      "server late",        "server reset",    "publish"};
+      "server late",        "server reset",    "publish",
+      "owner killed",       "calls late"};
   return Names.at(static_cast<std::size_t>(kind));
 }
 
@@ -39,8 +47,7 @@
   for (std::size_t n = 0; n < count; ++n) {
     PlannedFault it;
     it.At = from + Millis(static_cast<std::int64_t>(numbers.between(0, span)));
-    it.Kind = static_cast<FaultKind>(
-        numbers.between(0, static_cast<std::uint64_t>(FaultKind::Count) - 1));
+    it.Kind = static_cast<FaultKind>(numbers.between(0, LastDrawn));
     const bool server = it.Kind >= FaultKind::ServerCrashes;
     it.Target =
         numbers.between(0, (server ? shape.Servers : shape.EntryVms) - 1U);
@@ -51,6 +58,40 @@
   return out;
 }
 
+Millis seriesLength(const SiteShape &shape) {
+  return shape.MaxLease * SeriesLeases;
+}
+
+std::vector<PlannedFault> planSeries(std::uint64_t seed, MonoTime from,
+                                     MonoTime until, const SiteShape &shape) {
+  Random numbers(seed);
+  const auto draw = [&](Millis low, Millis high) {
+    return Millis(static_cast<std::int64_t>(
+        numbers.between(static_cast<std::uint64_t>(low.count()),
+                        static_cast<std::uint64_t>(high.count()))));
+  };
+  const Millis lease = shape.MaxLease;
+  std::vector<PlannedFault> out;
+  for (MonoTime at = from; at < until; at += seriesLength(shape)) {
+    const MonoTime late = at + draw(Millis(0), lease / 4);
+    const MonoTime killed = late + Millis(300);
+    const MonoTime cut = killed + draw(Millis(1000), Millis(2500));
+    const Millis lateFor = draw(lease, lease * 2);
+    const auto how = numbers.between(0, 1) == 0 ? FaultKind::ServerCut
+                                                : FaultKind::ServerAnswersLost;
+    out.push_back({killed, FaultKind::OwnerKilled, 0, false, Millis(1000)});
+    for (std::size_t n = 0; n < shape.Servers; ++n) {
+      out.push_back({late, FaultKind::CallsLate, n, false, lateFor});
+      // They end between half a lease and a lease and a half after the leases
+      // that the owner knows of.
+      if (numbers.between(0, 1) == 0)
+        out.push_back(
+            {cut, how, n, false, draw(lease * 3 / 2, lease * 11 / 4)});
+    }
+  }
+  return out;
+}
+
 void FaultRunner::schedule(const PlannedFault &fault) {
   Timers.push_back(Loop.at(fault.At, [this, fault] { begin(fault); }));
 }
@@ -73,6 +114,9 @@
   case FaultKind::StoreCompacted:
     Site.store().compact(TopicId("keyed.jobs"));
     return;
+  case FaultKind::OwnerKilled:
+    killOwner(fault.Span);
+    return;
   case FaultKind::Publish:
     Extra = !Extra;
     Site.publish(Extra);
@@ -89,6 +133,16 @@
       onVm(fault, Site.vms()[n]);
 }
 
+void FaultRunner::killOwner(Millis away) {
+  View.findOwner("", TopicId("keyed.jobs"), monoNow() + Seconds(1),
+                 [this, away](const StoreResult<TopicOwner> &result) {
+                   const auto *owner = std::get_if<TopicOwner>(&result);
+                   for (SoakVm &it : Site.vms())
+                     if (owner && owner->Member.starts_with(it.Name + "/"))
+                       Site.kill(it, away);
+                 });
+}
+
 void FaultRunner::onVm(const PlannedFault &fault, SoakVm &vm) {
   // Its way to the store fails, which may break what it holds open.
   if (fault.Kind >= FaultKind::StoreBusy)
@@ -151,6 +205,12 @@
     server.Relay->setDelay(LateOrders);
     undoLater(fault.Span, [&server] { server.Relay->setDelay(Millis(0)); });
     break;
+  case FaultKind::CallsLate:
+    // Some are late for longer than a lease.
+    server.Standin->setLate(
+        {LatePercent, LateAtLeast, Site.shape().MaxLease * 5 / 4});
+    undoLater(fault.Span, [&server] { server.Standin->setLate({}); });
+    break;
   case FaultKind::ServerReset:
     server.Relay->reset();
     break;
--- a/testing/soak/src/fault_plan.h
+++ b/testing/soak/src/fault_plan.h
@@ -32,6 +32,9 @@
   ServerLate,
   ServerReset,
   Publish,
+  // These are planned in series only.
+  OwnerKilled,
+  CallsLate,
   Count
 };
 
@@ -52,11 +55,18 @@
                                      MonoTime from, MonoTime until,
                                      const SiteShape &shape);
 
+/// Series of faults that outlast a lease: the owner is lost, servers carry
+/// calls out late, and some are cut off while its successor asks for their
+/// runs.
+std::vector<PlannedFault> planSeries(std::uint64_t seed, MonoTime from,
+                                     MonoTime until, const SiteShape &shape);
+Millis seriesLength(const SiteShape &shape);
+
 /// Carries faults out and takes them away after their span.
 class FaultRunner {
 public:
   FaultRunner(EventLoop &loop, SoakSite &site, Judge &judge)
-      : Loop(loop), Site(site), Judging(judge) {}
+      : Loop(loop), Site(site), Judging(judge), View(site.store()) {}
 
   void schedule(const PlannedFault &fault);
   /// The queue "extra" is in what was published last.
@@ -64,6 +74,7 @@
 
 private:
   void begin(const PlannedFault &fault);
+  void killOwner(Millis away);
   void onVm(const PlannedFault &fault, SoakVm &vm);
   void onServer(const PlannedFault &fault, SoakServer &server);
   void undoLater(Millis span, std::function<void()> undo);
@@ -71,6 +82,7 @@
   EventLoop &Loop;
   SoakSite &Site;
   Judge &Judging;
+  MemoryStoreView View;
   std::vector<Timer> Timers;
   bool Extra = true;
 };
--- a/testing/soak/src/judge.cpp
+++ b/testing/soak/src/judge.cpp
@@ -56,14 +56,28 @@
       Running.erase(here);
     break;
   case wire::RunEventKind::Acknowledged:
-    if (event.How == RunOutcome::Done)
-      story(event.Task.Work).Acknowledged.insert(event.Task);
-    if (event.How == RunOutcome::Failed)
-      ++story(event.Task.Work).Failures[event.Task];
+    onAcknowledged(event);
     break;
   }
 }
 
+void Judge::onAcknowledged(const wire::RunEvent &event) {
+  JobStory &job = story(event.Task.Work);
+  if (event.How == RunOutcome::Failed)
+    ++job.Failures[event.Task];
+  if (event.How != RunOutcome::Done)
+    return;
+  job.Acknowledged.insert(event.Task);
+  // After the lease has expired the task may be placed again.
+  const auto again = job.StartedAgain.find(event.Task);
+  if (!event.LeaseExpiredSince && again != job.StartedAgain.end() &&
+      again->second > event.Run)
+    add(event.At, fmt::format("twice: the end of run {} of {} on {} is taken, "
+                              "and run {} had started after it",
+                              event.Run, event.Task.str(),
+                              event.Server.Id.str(), again->second));
+}
+
 void Judge::onStarted(const wire::RunEvent &event) {
   ++Started;
   const std::string task = event.Task.str();
@@ -84,6 +98,8 @@
     add(event.At,
         fmt::format("twice: {} runs on {} and starts on {}", task,
                     here->second.Server.Id.str(), event.Server.Id.str()));
+  if (job.Done.contains(event.Task))
+    job.StartedAgain[event.Task] = event.Run;
   if (job.Acknowledged.contains(event.Task))
     add(event.At,
         fmt::format("twice: {} starts after its end was taken", task));
--- a/testing/soak/src/judge.h
+++ b/testing/soak/src/judge.h
@@ -33,6 +33,8 @@
   /// Tasks that ended done on a server, and those whose end was acknowledged.
   std::set<TaskName> Done;
   std::set<TaskName> Acknowledged;
+  /// The latest run that started after one had ended done.
+  std::map<TaskName, std::uint32_t> StartedAgain;
   std::map<TaskName, std::uint32_t> Failures;
 };
 
@@ -62,6 +64,7 @@
   };
 
   void onStarted(const wire::RunEvent &event);
+  void onAcknowledged(const wire::RunEvent &event);
 
   std::map<WorkId, JobStory> Stories;
   std::map<TaskName, Place> Running;
--- a/testing/soak/src/judge_test.cpp
+++ b/testing/soak/src/judge_test.cpp
@@ -73,6 +73,26 @@
   BOOST_TEST(found("twice"));
 }
 
+BOOST_AUTO_TEST_CASE(end_that_is_taken_after_a_later_start_is_found) {
+  start(One);
+  run(wire::RunEventKind::Ended, One, 1);
+  start(Two, 2);
+  BOOST_TEST(Judging.findings().empty());
+  run(wire::RunEventKind::Acknowledged, One, 1);
+  BOOST_TEST(found("twice"));
+}
+
+BOOST_AUTO_TEST_CASE(start_after_an_end_whose_lease_expired_is_allowed) {
+  start(One);
+  run(wire::RunEventKind::Ended, One, 1);
+  start(Two, 2);
+  Judging.onRun({wire::RunEventKind::Acknowledged, Now, One, Task, 1, "",
+                 RunOutcome::Done, true});
+  run(wire::RunEventKind::Ended, Two, 2);
+  run(wire::RunEventKind::Acknowledged, Two, 2);
+  BOOST_TEST(Judging.findings().empty());
+}
+
 BOOST_AUTO_TEST_CASE(start_of_a_refused_job_is_found) {
   job().AcceptedAt.reset();
   start(One);
--- a/testing/soak/src/soak_callers.cpp
+++ b/testing/soak/src/soak_callers.cpp
@@ -74,7 +74,9 @@
   step.Count = static_cast<std::uint32_t>(Numbers.between(1, 6));
   step.Requested = {1000, 1000, 1};
   // Some outlast a fault and what it leaves behind.
-  job.Program.Work = Millis(dice(LongPercent) ? Numbers.between(1500, 6000)
+  const auto longest =
+      static_cast<std::uint64_t>(Site.shape().LongestWork.count());
+  job.Program.Work = Millis(dice(LongPercent) ? Numbers.between(1500, longest)
                                               : Numbers.between(100, 1500));
   job.Program.Gang = step.Gang ? step.Count : 1;
   job.Program.Fails = dice(FailPercent);
--- a/testing/soak/src/soak_main.cpp
+++ b/testing/soak/src/soak_main.cpp
@@ -25,6 +25,10 @@
 /// From the last fault: leases lapse (6 s), take-overs, retries; twice that.
 constexpr Seconds SettleWithin{30};
 constexpr Millis ConfigurationWithin{2000};
+/// Half of the usual one, so that a series that outlasts it stays short.
+constexpr Millis SeriesLease{3000};
+/// Longer than a take-over and the leases that a successor counts on.
+constexpr Millis SeriesWork{9000};
 
 struct Options {
   std::uint64_t Seed = 1;
@@ -32,6 +36,7 @@
   Seconds Length{12};
   unsigned JobsPerSecond = 8;
   bool Keep = false;
+  unsigned Series = 0;
   SiteShape Shape;
 };
 
@@ -69,9 +74,14 @@
 
   void load() {
     const MonoTime from = monoNow();
-    const MonoTime until = from + Given.Length;
+    const MonoTime seriesFrom = from + Given.Length;
+    const MonoTime until =
+        seriesFrom + seriesLength(Given.Shape) * Given.Series;
     for (const PlannedFault &it :
-         planFaults(Given.Seed, Given.Faults, from, until, Given.Shape))
+         planFaults(Given.Seed, Given.Faults, from, seriesFrom, Given.Shape))
+      Faults.schedule(it);
+    for (const PlannedFault &it :
+         planSeries(Given.Seed + 2, seriesFrom, until, Given.Shape))
       Faults.schedule(it);
     const Timer submit = Loop.every(Millis(1000 / Given.JobsPerSecond),
                                     [this] { Calling.submitOne(); });
@@ -93,10 +103,16 @@
   }
 
   int report() {
-    for (SoakVm &it : Site.vms())
+    for (SoakVm &it : Site.vms()) {
       if (const auto code = it.Child->exitCode(); code && *code != 0)
         Judging.add(monoNow(),
                     fmt::format("{} ended by itself with {}", it.Name, *code));
+      if (!it.Child->running() && !it.StoppedAt && !it.StartAt)
+        Judging.add(monoNow(),
+                    fmt::format("{} is gone since {}, by signal {}", it.Name,
+                                toMillis(it.EndedAt.value_or(MonoTime())),
+                                it.Child->endSignal().value_or(0)));
+    }
     for (const std::string &it : Judging.findings())
       fmt::print("FAULT {}\n", it);
     fmt::print("soak seed {}: {} faults injected, {} jobs, {} accepted, {} "
@@ -124,6 +140,11 @@
   options.Length = Seconds(arguments["seconds"].as<std::int64_t>());
   options.JobsPerSecond = arguments["rate"].as<unsigned>();
   options.Shape.EntryVms = arguments["vms"].as<unsigned>();
+  options.Series = arguments["series"].as<unsigned>();
+  if (options.Series > 0) {
+    options.Shape.MaxLease = SeriesLease;
+    options.Shape.LongestWork = SeriesWork;
+  }
   options.Shape.Servers = arguments["servers"].as<unsigned>();
   options.Shape.Program =
       arguments["build"].as<std::string>() + "/platform/citrongap_entry";
@@ -159,6 +180,10 @@
       cxxopts::value<std::int64_t>()->default_value("12"))(
       "rate", "jobs a second", cxxopts::value<unsigned>()->default_value("8"))(
       "vms", "entry VMs", cxxopts::value<unsigned>()->default_value("4"))(
+      "series",
+      "series of faults that outlast a lease, after the others, 12 s each; "
+      "leases are then 3 s",
+      cxxopts::value<unsigned>()->default_value("0"))(
       "servers", "backend servers",
       cxxopts::value<unsigned>()->default_value("12"))(
       "build", "build tree",
--- a/testing/soak/src/soak_site.cpp
+++ b/testing/soak/src/soak_site.cpp
@@ -39,7 +39,7 @@
 SoakSite::SoakSite(EventLoop &loop, SiteShape shape,
                    std::function<void(const wire::RunEvent &)> onRun)
     : Loop(loop), Shape(std::move(shape)), Store(loop),
-      Model({}, std::move(onRun)) {
+      Model({.MaxLease = Shape.MaxLease}, std::move(onRun)) {
   for (const auto &[name, priority] :
        {std::pair("urgent", 0U), {"batch", 1U}, {"extra", 1U}}) {
     QueueRules queue;
@@ -121,9 +121,11 @@
       << fmt::format("[entry_vm]\nid = {}\ndata_centre = dc-1\nip = {}\n"
                      "callers = {}\nreadiness = {}\npeers = {}\nseeds = {}\n"
                      "metrics_port = {}\n[store]\naddress = {}\n"
-                     "shortest_membership_ms = 1000\n",
+                     "shortest_membership_ms = 1000\n[bounds]\n"
+                     "longest_lease_ms = {}\n",
                      vm.Name, vm.Peers.Ip, vm.Callers.str(), vm.Readiness.str(),
-                     vm.Peers.str(), seeds, MetricsPort, vm.StoreAt.str());
+                     vm.Peers.str(), seeds, MetricsPort, vm.StoreAt.str(),
+                     Shape.MaxLease.count());
 }
 
 void SoakSite::reload(SoakVm &vm) {
@@ -212,6 +214,7 @@
   for (SoakServer &it : Servers) {
     it.Relay->setCut(false);
     it.Relay->setDelay(Millis(0));
+    it.Standin->setLate({});
   }
 }
 
--- a/testing/soak/src/soak_site.h
+++ b/testing/soak/src/soak_site.h
@@ -24,6 +24,10 @@
   unsigned EntryVms = 4;
   unsigned Servers = 12;
   unsigned ServersPerRack = 4;
+  /// Longest lease that backend servers grant.
+  Millis MaxLease{6000};
+  /// Longest work of a task.
+  Millis LongestWork{6000};
   /// The program of an entry VM.
   std::string Program;
   /// Settings and logs go here; it exists.
@@ -77,6 +81,7 @@
   std::vector<SoakServer> &servers() { return Servers; }
   wire::BackendsModel &model() { return Model; }
   MemoryStore &store() { return Store; }
+  const SiteShape &shape() const { return Shape; }
 
   // Entry VMs.
   void startVm(SoakVm &vm);
--- a/testing/support/include/citrongap/testing/process.h
+++ b/testing/support/include/citrongap/testing/process.h
@@ -26,6 +26,8 @@
   void wait();
   /// Its exit code; null while it runs or when a signal ended it.
   std::optional<int> exitCode() const { return Code; }
+  /// The signal that ended it; null while it runs or when it exited.
+  std::optional<int> endSignal() const { return Signal; }
 
 private:
   void noteEnd(int status);
@@ -34,6 +36,7 @@
   pid_t Pid = -1;
   bool Ended = false;
   std::optional<int> Code;
+  std::optional<int> Signal;
 };
 
 } // namespace citrongap::testing
--- a/testing/support/src/process.cpp
+++ b/testing/support/src/process.cpp
@@ -67,6 +67,8 @@
   Ended = true;
   if (WIFEXITED(status))
     Code = WEXITSTATUS(status);
+  else if (WIFSIGNALED(status))
+    Signal = WTERMSIG(status);
 }
 
 } // namespace citrongap::testing
