Count a task's end from renewals that got no answer, too

Cause: GangRun took a part out of sight for gone one task term after the last renewal that its owner saw answered. The session goes on to ask for renewals until its lease is over; a server whose answers are lost takes them and keeps the task a task term longer each time.

Unrepeatable jobs are not started again by this count, and "not run" is not told by it once a release was sent.

Ruled out: a stop that reaches the server. Single parts are stopped after the task term, when the lease is over and no stop is sent any more.

Test: daemon_test unanswered_renewals_do_not_let_a_job_run_twice_at_once. On the old code: "mostAtOnceUntilRestart(job) == 1U has failed [2 != 1]".

--- a/packages/daemon/include/citrongap/daemon/server_session.h
+++ b/packages/daemon/include/citrongap/daemon/server_session.h
@@ -31,6 +31,9 @@
   bool ready(MonoTime now) const { return Synced && now < LeaseUntil; }
   /// The last moment at which the server surely took a renewal.
   MonoTime renewedAt() const { return RenewedAt; }
+  /// When the latest renewal was asked for; the server may have taken it
+  /// although no answer came.
+  MonoTime renewalAskedAt() const { return RenewalAskedAt; }
   std::optional<FencingToken> token() const { return Token; }
 
   /// An ended task that the server may forget; sent with the next sync.
@@ -67,6 +70,7 @@
   /// Counted from before the renewal was asked for, less a margin for drift.
   MonoTime LeaseUntil;
   MonoTime RenewedAt;
+  MonoTime RenewalAskedAt;
   bool Synced = false;
   bool SyncInFlight = false;
   std::uint64_t Version = 0;
--- a/packages/daemon/src/fake_backends.cpp
+++ b/packages/daemon/src/fake_backends.cpp
@@ -37,9 +37,10 @@
                 {SlotsEach},
                 false};
     it.Model = std::make_unique<standins::BackendServerModel>(
-        SlotsEach, [this](const BackendEvent &event) {
+        SlotsEach, [this, id = it.About.Id](const BackendEvent &event) {
           if (event.Kind == BackendEventKind::Released) {
             ++Released[event.Task->Job];
+            ReleasedOn[event.Task->Job] = id;
             RunningTasks[event.Task->Job].insert(event.Task->Task);
           }
           if (event.Kind == BackendEventKind::Ended)
@@ -62,6 +63,12 @@
       it.Silent = on;
 }
 
+void FakeBackends::loseAnswers(const BackendServerId &server, bool on) {
+  for (auto &[address, it] : Servers)
+    if (it.About.Id == server)
+      it.LoseAnswers = on;
+}
+
 void FakeBackends::refusePrepares(const BackendServerId &server, unsigned n) {
   for (auto &[address, it] : Servers)
     if (it.About.Id == server)
@@ -80,6 +87,11 @@
   return 0;
 }
 
+BackendServerId FakeBackends::serverOf(const JobId &job) const {
+  const auto it = ReleasedOn.find(job);
+  return it == ReleasedOn.end() ? BackendServerId() : it->second;
+}
+
 unsigned FakeBackends::running(const JobId &job) {
   for (auto &[address, it] : Servers)
     it.Model->advance(monoNow());
@@ -109,6 +121,11 @@
     return;
   }
   const PortResult<T> result = toResult<T>(effect(server));
+  if (server.LoseAnswers) {
+    later(deadline,
+          [callback = std::move(callback)] { callback(NoAnswer{"lost"}); });
+    return;
+  }
   later(monoNow() + Latency,
         [callback = std::move(callback), result] { callback(result); });
 }
@@ -131,6 +148,11 @@
     return;
   }
   const auto result = it.Model->sync(request, monoNow());
+  if (it.LoseAnswers) {
+    later(deadline,
+          [callback = std::move(callback)] { callback(NoAnswer{"lost"}); });
+    return;
+  }
   if (const auto *refusal = std::get_if<Refusal>(&result)) {
     const Rejected rejected{refusal->Status, refusal->Reason, refusal->Token,
                             refusal->Remaining.count()};
--- a/packages/daemon/src/fake_backends.h
+++ b/packages/daemon/src/fake_backends.h
@@ -23,6 +23,8 @@
   std::vector<BackendServer> list() const;
   /// Every call to the server is left without effect and answer.
   void setSilent(const BackendServerId &server, bool on);
+  /// Every call to the server takes effect, and its answer is lost.
+  void loseAnswers(const BackendServerId &server, bool on);
   /// The server refuses its next `n` prepares.
   void refusePrepares(const BackendServerId &server, unsigned n);
   /// The next releases take effect and their answers are lost.
@@ -35,6 +37,8 @@
   /// Parts of `job` that were released, on all servers.
   unsigned releases(const JobId &job) const;
   unsigned prepares(const BackendServerId &server) const;
+  /// The server that was last asked to run a part of `job`.
+  BackendServerId serverOf(const JobId &job) const;
   /// Longest time that a part of a gang ran while another did not, by now.
   unsigned running(const JobId &job);
 
@@ -58,6 +62,7 @@
     BackendServer About;
     std::unique_ptr<standins::BackendServerModel> Model;
     bool Silent = false;
+    bool LoseAnswers = false;
     unsigned Prepares = 0;
     unsigned RefusedPrepares = 0;
   };
@@ -73,6 +78,7 @@
   EventLoop &Loop;
   std::map<Endpoint, Server> Servers;
   std::map<JobId, unsigned> Released;
+  std::map<JobId, BackendServerId> ReleasedOn;
   std::map<JobId, std::set<TaskId>> RunningTasks;
   unsigned LostReleases = 0;
   bool PreparedLate = false;
--- a/packages/daemon/src/gang_run.cpp
+++ b/packages/daemon/src/gang_run.cpp
@@ -191,12 +191,11 @@
   for (std::uint32_t i = 0; i < Parts.size(); ++i) {
     Part &part = Parts[i];
     const ServerSession *session = Sessions(part.Where.Server);
-    if (session && session->ready(now)) {
+    if (session && session->ready(now))
       part.SeenAt = std::max(part.SeenAt, session->renewedAt());
-      if (part.ReleaseSent)
-        part.GoneAt = std::max(part.GoneAt, session->renewedAt() +
-                                                CallPatience + Terms.TaskTerm);
-    }
+    if (session && part.ReleaseSent)
+      part.GoneAt = std::max(part.GoneAt, session->renewalAskedAt() +
+                                              CallPatience + Terms.TaskTerm);
     if (!part.Ended && now - part.SeenAt > patience) {
       lost = true;
       Unresponsive.push_back(part.Where.Server);
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -98,9 +98,17 @@
   bool Final;
 };
 
+/// Two renewals go out before the lease of a server without answers is lost.
+PodTerms renewingTerms() {
+  PodTerms terms;
+  terms.LeaseTerm = Millis(3000);
+  terms.TaskTerm = Millis(3100);
+  return terms;
+}
+
 struct Fixture {
-  explicit Fixture(unsigned servers = 4)
-      : Servers(Loop, servers), Owner(makeOwner("owner-1")) {
+  explicit Fixture(unsigned servers = 4, PodTerms terms = shortTerms())
+      : Servers(Loop, servers), Terms(terms), Owner(makeOwner("owner-1")) {
     Owner->configure(lists());
     Owner->setServers(Servers.list());
     Owner->activate({});
@@ -109,7 +117,7 @@
   std::unique_ptr<PodOwner> makeOwner(const std::string &name) {
     return std::make_unique<PodOwner>(
         Loop, Servers, Claims, Broker, EntryVmId(name), DataCentreId("dc"),
-        shortTerms(),
+        Terms,
         [this](const EntryVmId &front, const EndNotice &message,
                const std::function<void(bool)> &callback) {
           Messages.push_back({front, message.Ended, message.Final});
@@ -150,8 +158,21 @@
     return ended(job) && std::holds_alternative<T>(Ended.at(job.Id));
   }
 
+  /// The most parts of `job` that ran at one time until its second start.
+  unsigned mostAtOnceUntilRestart(const JobRequest &job) {
+    constexpr Seconds RestartWithin{12};
+    const MonoTime limit = monoNow() + RestartWithin;
+    unsigned most = 0;
+    while (Servers.releases(job.Id) < 2 && monoNow() < limit) {
+      Loop.runUntil(monoNow() + Millis(5));
+      most = std::max(most, Servers.running(job.Id));
+    }
+    return most;
+  }
+
   EventLoop Loop;
   FakeBackends Servers;
+  PodTerms Terms;
   FakeClaims Claims;
   FakeBroker Broker;
   std::vector<Told> Messages;
@@ -516,3 +537,16 @@
   BOOST_TEST(site.until([&] { return !successor->recovering(); }));
   BOOST_CHECK(successor->view(job.Id).Stage == JobStage::NotKnown);
 }
+
+// Guards against: a renewal that was carried out without an answer keeps a
+// task running after its owner counts it as lapsed and starts it elsewhere.
+BOOST_AUTO_TEST_CASE(unanswered_renewals_do_not_let_a_job_run_twice_at_once) {
+  Fixture site(2, renewingTerms());
+  site.Servers.setRun(Seconds(60));
+  const auto job = Fixture::job("k", 1);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 1; }));
+  site.Servers.loseAnswers(site.Servers.serverOf(job.Id), true);
+  BOOST_TEST(site.mostAtOnceUntilRestart(job) == 1U);
+  BOOST_TEST(site.Servers.releases(job.Id) == 2U);
+}
--- a/packages/daemon/src/server_session.cpp
+++ b/packages/daemon/src/server_session.cpp
@@ -75,6 +75,7 @@
                             wait ? Terms.SyncWait : Millis(0),
                             acknowledged};
   SyncInFlight = true;
+  RenewalAskedAt = asked;
   Port.sync(About.Address, request, asked + request.Wait + CallPatience,
             guarded<SyncAnswer>([this, asked,
                                  acknowledged](PortResult<SyncAnswer> result) {
