Count terms at a backend server from when its owner asked

Cause: a server counted leases, task leases and start-by times from the receipt of a call, and the owner from its sending. A call that was carried out late gave that much more time than the owner counts on.

Callers: a repeatable job was started on another server while its first run went on, renewed by a call that came late. A late lease for an owner that had gone kept its successor from the server, and the successor starts without a server that did not answer within one lease term and 1.5 s.

Ruled out: unrepeatable work. Its claims in the log, the token and the fence of all servers decide there, not a time. "Not run" is told of a task only when no release was sent or the server said that it did not run.

Now each call names a time of the server's clock that had passed when it was sent (from_ms), and terms count from it. The owner learns the clock from GET /usage and from each sync, keeps bounds of the offset, and takes no lease without it. A late renewal takes no time away from a later one. Calls without from_ms (older daemons) count from the receipt as before. A server that tells no clock gets no lease from a new daemon.

--- a/packages/daemon/include/citrongap/daemon/server_session.h
+++ b/packages/daemon/include/citrongap/daemon/server_session.h
@@ -1,8 +1,9 @@
-// The lease of one backend server, as its holder keeps it: acquire, renew by
-// syncs, tell what changed, notice when it is lost.
+// The lease of one backend server, as its holder keeps it: learn the server's
+// clock, acquire, renew by syncs, tell what changed, notice when it is lost.
 #ifndef CITRONGAP_DAEMON_SERVER_SESSION_H
 #define CITRONGAP_DAEMON_SERVER_SESSION_H
 
+#include "citrongap/daemon/server_clock.h"
 #include "citrongap/daemon/settings.h"
 #include "citrongap/net/event_loop.h"
 #include "citrongap/platform/backend_port.h"
@@ -35,6 +36,9 @@
   /// although no answer came.
   MonoTime renewalAskedAt() const { return RenewalAskedAt; }
   std::optional<FencingToken> token() const { return Token; }
+  /// A time that the server's clock has passed by now; terms that are asked for
+  /// count from it. Only while ready.
+  ServerTime serverTime(MonoTime now) const { return Clock.passed(now); }
 
   /// An ended task that the server may forget; sent with the next sync.
   void acknowledge(const TaskId &task);
@@ -48,9 +52,15 @@
   sigc::signal<void()> Lost;
 
 private:
+  void askClock();
   void acquire();
+  void onAcquired(const PortResult<FencingToken> &result, MonoTime leaseUntil,
+                  MonoTime asked);
+  /// When a lease that counts from `from` ends by this process's clock, less a
+  /// margin for drift.
+  MonoTime leaseEnd(ServerTime from) const;
   void sync();
-  void onSynced(const SyncAnswer &answer, MonoTime asked,
+  void onSynced(const SyncAnswer &answer, MonoTime asked, ServerTime from,
                 const std::vector<TaskId> &acknowledged);
   void onFailure(const Rejected &rejected);
   void retryLater(Millis pause);
@@ -67,8 +77,8 @@
   PodTerms Terms;
   std::optional<FencingToken> Previous;
   std::optional<FencingToken> Token;
-  /// Counted from before the renewal was asked for, less a margin for drift.
   MonoTime LeaseUntil;
+  ServerClock Clock;
   MonoTime RenewedAt;
   MonoTime RenewalAskedAt;
   bool Synced = false;
--- a/packages/daemon/src/fake_backends.cpp
+++ b/packages/daemon/src/fake_backends.cpp
@@ -11,6 +11,11 @@
 using standins::BackendEventKind;
 using standins::Refusal;
 
+/// The servers' clock is ahead of the owner's.
+MonoTime serverNow() { return monoNow() + Seconds(3600); }
+
+ServerTime serverTime() { return ServerTime(serverNow().time_since_epoch()); }
+
 constexpr Millis Latency{2};
 constexpr Millis SyncTurn{1};
 constexpr Millis LateBy{60};
@@ -63,10 +68,10 @@
       it.Silent = on;
 }
 
-void FakeBackends::loseAnswers(const BackendServerId &server, bool on) {
+void FakeBackends::loseAnswers(const BackendServerId &server, Millis late) {
   for (auto &[address, it] : Servers)
     if (it.About.Id == server)
-      it.LoseAnswers = on;
+      it.LostAfter = late;
 }
 
 void FakeBackends::refusePrepares(const BackendServerId &server, unsigned n) {
@@ -94,7 +99,7 @@
 
 unsigned FakeBackends::running(const JobId &job) {
   for (auto &[address, it] : Servers)
-    it.Model->advance(monoNow());
+    it.Model->advance(serverNow());
   return static_cast<unsigned>(RunningTasks[job].size());
 }
 
@@ -120,39 +125,50 @@
           [callback = std::move(callback)] { callback(NoAnswer{"silent"}); });
     return;
   }
-  const PortResult<T> result = toResult<T>(effect(server));
-  if (server.LoseAnswers) {
+  if (server.LostAfter) {
+    later(monoNow() + *server.LostAfter,
+          [effect, &server] { (void)effect(server); });
     later(deadline,
           [callback = std::move(callback)] { callback(NoAnswer{"lost"}); });
     return;
   }
+  const PortResult<T> result = toResult<T>(effect(server));
   later(monoNow() + Latency,
         [callback = std::move(callback), result] { callback(result); });
 }
 
+void FakeBackends::clock(const Endpoint &server, MonoTime deadline,
+                         PortCallback<ServerTime> callback) {
+  serve<ServerTime>(server, deadline, std::move(callback),
+                    [](Server &) -> standins::ModelResult<ServerTime> {
+                      return serverTime();
+                    });
+}
+
 void FakeBackends::acquire(const Endpoint &server, const EntryVmId &holder,
-                           Millis term, std::optional<FencingToken> previous,
+                           Millis term, ServerTime from,
+                           std::optional<FencingToken> previous,
                            MonoTime deadline,
                            PortCallback<FencingToken> callback) {
-  serve<FencingToken>(server, deadline, std::move(callback), [&](Server &it) {
-    return it.Model->acquire(holder, term, previous, monoNow());
+  serve<FencingToken>(server, deadline, std::move(callback), [=](Server &it) {
+    return it.Model->acquire(holder, term, previous, serverNow(), from);
   });
 }
 
 void FakeBackends::sync(const Endpoint &server, const SyncRequest &request,
                         MonoTime deadline, PortCallback<SyncAnswer> callback) {
   Server &it = at(server);
-  if (it.Silent) {
-    later(deadline,
-          [callback = std::move(callback)] { callback(NoAnswer{"silent"}); });
-    return;
-  }
-  const auto result = it.Model->sync(request, monoNow());
-  if (it.LoseAnswers) {
-    later(deadline,
-          [callback = std::move(callback)] { callback(NoAnswer{"lost"}); });
+  const auto effect = [=](Server &asked) {
+    return asked.Model->sync(request, serverNow());
+  };
+  if (it.Silent || it.LostAfter) {
+    const auto noAnswer = [callback](const PortResult<std::monostate> &) {
+      callback(NoAnswer{"silent"});
+    };
+    serve<std::monostate>(server, deadline, noAnswer, effect);
     return;
   }
+  const auto result = effect(it);
   if (const auto *refusal = std::get_if<Refusal>(&result)) {
     const Rejected rejected{refusal->Status, refusal->Reason, refusal->Token,
                             refusal->Remaining.count()};
@@ -167,8 +183,9 @@
                               const SyncRequest &request, MonoTime holdUntil,
                               PortCallback<SyncAnswer> callback) {
   Server &it = at(address);
-  it.Model->advance(monoNow());
+  it.Model->advance(serverNow());
   SyncAnswer answer;
+  answer.Now = serverTime();
   answer.Version = it.Model->version();
   for (const auto &[version, state] : it.Model->changedSince(request.Since))
     answer.Tasks.push_back(state);
@@ -199,14 +216,16 @@
     });
     return;
   }
-  serve<std::monostate>(server, deadline, std::move(callback), [&](Server &it) {
-    return it.Model->prepare(token, task, {Run, false, task.Job.Key.str()},
-                             monoNow());
-  });
+  serve<std::monostate>(
+      server, deadline, std::move(callback), [=, this](Server &it) {
+        return it.Model->prepare(token, task, {Run, false, task.Job.Key.str()},
+                                 serverNow());
+      });
 }
 
 void FakeBackends::release(const Endpoint &server, FencingToken token,
-                           const TaskId &task, MonoTime deadline,
+                           const TaskId &task, ServerTime from,
+                           MonoTime deadline,
                            PortCallback<std::monostate> callback) {
   const bool lose = LostReleases > 0;
   LostReleases -= lose ? 1 : 0;
@@ -219,14 +238,16 @@
         else
           callback(result);
       },
-      [&](Server &it) { return it.Model->release(token, task, monoNow()); });
+      [=](Server &it) {
+        return it.Model->release(token, task, serverNow(), from);
+      });
 }
 
 void FakeBackends::stop(const Endpoint &server, FencingToken token,
                         const TaskId &task, bool, MonoTime deadline,
                         PortCallback<TaskState> callback) {
-  serve<TaskState>(server, deadline, std::move(callback), [&](Server &it) {
-    return it.Model->stop(token, task, monoNow());
+  serve<TaskState>(server, deadline, std::move(callback), [=](Server &it) {
+    return it.Model->stop(token, task, serverNow());
   });
 }
 
--- a/packages/daemon/src/fake_backends.h
+++ b/packages/daemon/src/fake_backends.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,8 +24,8 @@
   std::vector<BackendServer> list() const;
   /// Every call to the server is left without effect and answer.
   void setSilent(const BackendServerId &server, bool on);
-  /// Every call to the server takes effect, and its answer is lost.
-  void loseAnswers(const BackendServerId &server, bool on);
+  /// Every call to the server takes effect so late, and its answer is lost.
+  void loseAnswers(const BackendServerId &server, Millis late = Millis(0));
   /// The server refuses its next `n` prepares.
   void refusePrepares(const BackendServerId &server, unsigned n);
   /// The next releases take effect and their answers are lost.
@@ -42,16 +43,18 @@
   /// Longest time that a part of a gang ran while another did not, by now.
   unsigned running(const JobId &job);
 
+  void clock(const Endpoint &server, MonoTime deadline,
+             PortCallback<ServerTime> callback) override;
   void acquire(const Endpoint &server, const EntryVmId &holder, Millis term,
-               std::optional<FencingToken> previous, MonoTime deadline,
-               PortCallback<FencingToken> callback) override;
+               ServerTime from, std::optional<FencingToken> previous,
+               MonoTime deadline, PortCallback<FencingToken> callback) override;
   void sync(const Endpoint &server, const SyncRequest &request,
             MonoTime deadline, PortCallback<SyncAnswer> callback) override;
   void prepare(const Endpoint &server, FencingToken token,
                const PrepareTask &task, MonoTime deadline,
                PortCallback<std::monostate> callback) override;
   void release(const Endpoint &server, FencingToken token, const TaskId &task,
-               MonoTime deadline,
+               ServerTime from, MonoTime deadline,
                PortCallback<std::monostate> callback) override;
   void stop(const Endpoint &server, FencingToken token, const TaskId &task,
             bool checkpoint, MonoTime deadline,
@@ -62,7 +65,8 @@
     BackendServer About;
     std::unique_ptr<standins::BackendServerModel> Model;
     bool Silent = false;
-    bool LoseAnswers = false;
+    /// Set while answers are lost: how late calls take effect.
+    std::optional<Millis> LostAfter;
     unsigned Prepares = 0;
     unsigned RefusedPrepares = 0;
   };
--- a/packages/daemon/src/gang_run.cpp
+++ b/packages/daemon/src/gang_run.cpp
@@ -85,7 +85,8 @@
                          Parts[part].Where.Slots,
                          RequestText,
                          Terms.StartBy,
-                         Terms.TaskTerm};
+                         Terms.TaskTerm,
+                         session->serverTime(now)};
   Port.prepare(session->about().Address, *session->token(), task,
                now + CallPatience,
                guarded<std::monostate>(
@@ -127,7 +128,7 @@
   Parts[part].ReleaseSent = true;
   Parts[part].GoneAt = now + CallPatience + Terms.TaskTerm;
   Port.release(session->about().Address, *session->token(), taskOf(part),
-               now + CallPatience,
+               session->serverTime(now), now + CallPatience,
                guarded<std::monostate>(
                    [this, part](const PortResult<std::monostate> &result) {
                      onReleased(part, result);
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -521,8 +521,9 @@
   const HandOverPod message = site.Owner->handOver();
   const auto job = Fixture::job("k", 1);
   const AttemptRecord record{job, "attempt", {{{BackendServerId("s0"), {0}}}}};
-  const PrepareTask task{TaskId("attempt-7"),   job.Id,      7,          8, {0},
-                         encodeAttempt(record), Millis(300), Millis(900)};
+  const PrepareTask task{
+      TaskId("attempt-7"),   job.Id,      7,           8,           {0},
+      encodeAttempt(record), Millis(300), Millis(900), std::nullopt};
   bool prepared = false;
   site.Servers.prepare(
       site.Servers.list()[0].Address, message.Leases[0].second, task,
@@ -546,7 +547,22 @@
   const auto job = Fixture::job("k", 1);
   site.Owner->submit(job, {FrontA, false, false}, ignore);
   BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 1; }));
-  site.Servers.loseAnswers(site.Servers.serverOf(job.Id), true);
+  site.Servers.loseAnswers(site.Servers.serverOf(job.Id));
+  BOOST_TEST(site.mostAtOnceUntilRestart(job) == 1U);
+  BOOST_TEST(site.Servers.releases(job.Id) == 2U);
+}
+
+// Guards against: a renewal that is carried out late lasts as much longer at
+// the server, so that its task goes on after it was started elsewhere.
+BOOST_AUTO_TEST_CASE(late_renewals_do_not_let_a_job_run_twice_at_once) {
+  PodTerms terms = renewingTerms();
+  terms.SyncWait = Millis(100);
+  Fixture site(2, terms);
+  site.Servers.setRun(Seconds(60));
+  const auto job = Fixture::job("k", 1);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 1; }));
+  site.Servers.loseAnswers(site.Servers.serverOf(job.Id), Millis(2500));
   BOOST_TEST(site.mostAtOnceUntilRestart(job) == 1U);
   BOOST_TEST(site.Servers.releases(job.Id) == 2U);
 }
--- a/packages/daemon/src/server_session.cpp
+++ b/packages/daemon/src/server_session.cpp
@@ -37,29 +37,55 @@
   };
 }
 
+void ServerSession::askClock() {
+  const MonoTime asked = monoNow();
+  Port.clock(
+      About.Address, asked + CallPatience,
+      guarded<ServerTime>([this, asked](const PortResult<ServerTime> &result) {
+        const auto *told = std::get_if<ServerTime>(&result);
+        if (told)
+          Clock.onAnswer(*told, asked, monoNow());
+        retryLater(told ? Millis(0) : RetryPause);
+      }));
+}
+
+MonoTime ServerSession::leaseEnd(ServerTime from) const {
+  return Clock.earliest(from + Terms.LeaseTerm) -
+         Terms.LeaseTerm / DriftDivisor;
+}
+
 void ServerSession::acquire() {
   const MonoTime asked = monoNow();
+  const ServerTime from = Clock.passed(asked);
   Port.acquire(
-      About.Address, Self, Terms.LeaseTerm, Previous, asked + CallPatience,
-      guarded<FencingToken>([this, asked](PortResult<FencingToken> result) {
-        if (const auto *rejected = std::get_if<Rejected>(&result)) {
-          Previous.reset();
-          retryLater(std::clamp(Millis(rejected->RemainingMs), RetryPause,
-                                Terms.LeaseTerm));
-          return;
-        }
-        if (std::holds_alternative<NoAnswer>(result)) {
-          retryLater(RetryPause);
-          return;
-        }
-        Token = std::get<FencingToken>(result);
-        LeaseUntil = asked + Terms.LeaseTerm - Terms.LeaseTerm / DriftDivisor;
-        RenewedAt = asked;
-        Version = 0;
-        sync();
+      About.Address, Self, Terms.LeaseTerm, from, Previous,
+      asked + CallPatience,
+      guarded<FencingToken>([this, asked, until = leaseEnd(from)](
+                                const PortResult<FencingToken> &result) {
+        onAcquired(result, until, asked);
       }));
 }
 
+void ServerSession::onAcquired(const PortResult<FencingToken> &result,
+                               MonoTime leaseUntil, MonoTime asked) {
+  if (const auto *rejected = std::get_if<Rejected>(&result)) {
+    Previous.reset();
+    Clock = {};
+    retryLater(
+        std::clamp(Millis(rejected->RemainingMs), RetryPause, Terms.LeaseTerm));
+    return;
+  }
+  if (std::holds_alternative<NoAnswer>(result)) {
+    retryLater(RetryPause);
+    return;
+  }
+  Token = std::get<FencingToken>(result);
+  LeaseUntil = leaseUntil;
+  RenewedAt = asked;
+  Version = 0;
+  sync();
+}
+
 void ServerSession::sync() {
   const MonoTime asked = monoNow();
   if (!Token || asked >= LeaseUntil) {
@@ -68,20 +94,22 @@
   }
   std::vector<TaskId> acknowledged(ToAcknowledge.begin(), ToAcknowledge.end());
   const bool wait = Synced && acknowledged.empty();
+  const ServerTime from = Clock.passed(asked);
   const SyncRequest request{*Token,
                             Terms.LeaseTerm,
                             Terms.TaskTerm,
                             Version,
                             wait ? Terms.SyncWait : Millis(0),
-                            acknowledged};
+                            acknowledged,
+                            from};
   SyncInFlight = true;
   RenewalAskedAt = asked;
   Port.sync(About.Address, request, asked + request.Wait + CallPatience,
-            guarded<SyncAnswer>([this, asked,
+            guarded<SyncAnswer>([this, asked, from,
                                  acknowledged](PortResult<SyncAnswer> result) {
               SyncInFlight = false;
               if (const auto *answer = std::get_if<SyncAnswer>(&result))
-                onSynced(*answer, asked, acknowledged);
+                onSynced(*answer, asked, from, acknowledged);
               else if (const auto *rejected = std::get_if<Rejected>(&result))
                 onFailure(*rejected);
               else
@@ -90,9 +118,10 @@
 }
 
 void ServerSession::onSynced(const SyncAnswer &answer, MonoTime asked,
+                             ServerTime from,
                              const std::vector<TaskId> &acknowledged) {
-  LeaseUntil = std::max(LeaseUntil, asked + Terms.LeaseTerm -
-                                        Terms.LeaseTerm / DriftDivisor);
+  Clock.onAnswer(answer.Now, asked, monoNow());
+  LeaseUntil = std::max(LeaseUntil, leaseEnd(from));
   RenewedAt = asked;
   Version = answer.Version;
   for (const auto &it : acknowledged)
@@ -118,6 +147,8 @@
 void ServerSession::loseLease() {
   Token.reset();
   Previous.reset();
+  // The server may have restarted.
+  Clock = {};
   const bool had = std::exchange(Synced, false);
   retryLater(RetryPause);
   if (had) {
@@ -130,8 +161,10 @@
   Next = Loop.at(monoNow() + pause, [this] {
     if (Token)
       sync();
-    else
+    else if (Clock.known())
       acquire();
+    else
+      askClock();
   });
 }
 
--- a/packages/platform/include/citrongap/platform/http_ports.h
+++ b/packages/platform/include/citrongap/platform/http_ports.h
@@ -37,16 +37,18 @@
 class HttpBackendPort final : public BackendPort {
 public:
   explicit HttpBackendPort(HttpClient &http);
+  void clock(const Endpoint &server, MonoTime deadline,
+             PortCallback<ServerTime> callback) override;
   void acquire(const Endpoint &server, const EntryVmId &holder, Millis term,
-               std::optional<FencingToken> previous, MonoTime deadline,
-               PortCallback<FencingToken> callback) override;
+               ServerTime from, std::optional<FencingToken> previous,
+               MonoTime deadline, PortCallback<FencingToken> callback) override;
   void sync(const Endpoint &server, const SyncRequest &request,
             MonoTime deadline, PortCallback<SyncAnswer> callback) override;
   void prepare(const Endpoint &server, FencingToken token,
                const PrepareTask &task, MonoTime deadline,
                PortCallback<std::monostate> callback) override;
   void release(const Endpoint &server, FencingToken token, const TaskId &task,
-               MonoTime deadline,
+               ServerTime from, MonoTime deadline,
                PortCallback<std::monostate> callback) override;
   void stop(const Endpoint &server, FencingToken token, const TaskId &task,
             bool checkpoint, MonoTime deadline,
--- a/packages/platform/src/http_backend_port.cpp
+++ b/packages/platform/src/http_backend_port.cpp
@@ -58,8 +58,13 @@
   return state;
 }
 
+ServerTime readNow(const json &object, bool &ok) {
+  return ServerTime(Millis(field<std::int64_t>(object, "now_ms", ok)));
+}
+
 SyncAnswer readSync(const json &object, bool &ok) {
   SyncAnswer answer;
+  answer.Now = readNow(object, ok);
   answer.Version = field<std::uint64_t>(object, "version", ok);
   const auto tasks = object.find("tasks");
   if (tasks == object.end() || !tasks->is_array()) {
@@ -78,15 +83,31 @@
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+void addFrom(json &body, const std::optional<ServerTime> &from) {
+  if (from)
+    body["from_ms"] = from->time_since_epoch().count();
+}
+
 } // namespace
 
 HttpBackendPort::HttpBackendPort(HttpClient &http) : Http(http) {}
 
+void HttpBackendPort::clock(const Endpoint &server, MonoTime deadline,
+                            PortCallback<ServerTime> callback) {
+  Http.call(server, {"GET", "/usage", "", ""}, deadline,
+            [callback = std::move(callback)](const HttpResult &result) {
+              callback(readAnswer<ServerTime>(result, readNow));
+            });
+}
+
 void HttpBackendPort::acquire(const Endpoint &server, const EntryVmId &holder,
-                              Millis term, std::optional<FencingToken> previous,
+                              Millis term, ServerTime from,
+                              std::optional<FencingToken> previous,
                               MonoTime deadline,
                               PortCallback<FencingToken> callback) {
-  json body{{"holder", holder.str()}, {"ttl_ms", term.count()}};
+  json body{{"holder", holder.str()},
+            {"ttl_ms", term.count()},
+            {"from_ms", from.time_since_epoch().count()}};
   if (previous)
     body["previous_token"] = previous->value();
   Http.call(server, {"POST", "/lease", dump(body), ""}, deadline,
@@ -104,12 +125,13 @@
   json acknowledged = json::array();
   for (const auto &it : request.Acknowledged)
     acknowledged.push_back(it.str());
-  const json body{{"token", request.Token.value()},
-                  {"ttl_ms", request.LeaseTerm.count()},
-                  {"task_ttl_ms", request.TaskTerm.count()},
-                  {"since", request.Since},
-                  {"wait_ms", request.Wait.count()},
-                  {"acknowledge", std::move(acknowledged)}};
+  json body{{"token", request.Token.value()},
+            {"ttl_ms", request.LeaseTerm.count()},
+            {"task_ttl_ms", request.TaskTerm.count()},
+            {"since", request.Since},
+            {"wait_ms", request.Wait.count()},
+            {"acknowledge", std::move(acknowledged)}};
+  addFrom(body, request.From);
   Http.call(server, {"POST", "/sync", dump(body), ""}, deadline,
             [callback = std::move(callback)](const HttpResult &result) {
               callback(readAnswer<SyncAnswer>(result, readSync));
@@ -119,7 +141,7 @@
 void HttpBackendPort::prepare(const Endpoint &server, FencingToken token,
                               const PrepareTask &task, MonoTime deadline,
                               PortCallback<std::monostate> callback) {
-  const json body{
+  json body{
       {"token", token.value()},
       {"task", task.Task.str()},
       {"job",
@@ -130,6 +152,7 @@
       {"request", task.Request},
       {"start_by_ms", task.StartBy.count()},
       {"task_ttl_ms", task.TaskTerm.count()}};
+  addFrom(body, task.From);
   Http.call(server, {"POST", "/prepare", dump(body), ""}, deadline,
             [callback = std::move(callback)](const HttpResult &result) {
               callback(readAnswer<std::monostate>(result, readNothing));
@@ -137,9 +160,12 @@
 }
 
 void HttpBackendPort::release(const Endpoint &server, FencingToken token,
-                              const TaskId &task, MonoTime deadline,
+                              const TaskId &task, ServerTime from,
+                              MonoTime deadline,
                               PortCallback<std::monostate> callback) {
-  const json body{{"token", token.value()}, {"task", task.str()}};
+  const json body{{"token", token.value()},
+                  {"task", task.str()},
+                  {"from_ms", from.time_since_epoch().count()}};
   Http.call(server, {"POST", "/release", dump(body), ""}, deadline,
             [callback = std::move(callback)](const HttpResult &result) {
               callback(readAnswer<std::monostate>(result, readNothing));
--- a/testing/capacity/src/lease_cost.cpp
+++ b/testing/capacity/src/lease_cost.cpp
@@ -63,9 +63,9 @@
   for (std::uint32_t i = 0; i < TasksPerServer; ++i)
     tasks += (i == 0 ? "" : ",") + taskJson(i);
   return {R"({"token":7})",
-          R"({"version":7,"tasks":[)" + tasks + "]}",
-          R"({"version":7,"tasks":[]})",
-          "{}",
+          R"({"now_ms":1,"version":7,"tasks":[)" + tasks + "]}",
+          R"({"now_ms":1,"version":7,"tasks":[]})",
+          R"({"now_ms":1})",
           false,
           Millis(0)};
 }
@@ -101,7 +101,8 @@
   HttpBackendPort port(http);
   const PodTerms terms;
   const SyncRequest request{FencingToken(7), terms.LeaseTerm, terms.TaskTerm,
-                            since,           terms.SyncWait,  {}};
+                            since,           terms.SyncWait,  {},
+                            std::nullopt};
   const auto once = [&](std::function<void()> then) {
     port.sync(server.endpoints()[0], request, monoNow() + Patience,
               [then = std::move(then)](const PortResult<SyncAnswer> &result) {
--- a/testing/standins/include/citrongap/standins/backend_server_model.h
+++ b/testing/standins/include/citrongap/standins/backend_server_model.h
@@ -67,16 +67,19 @@
   /// When `advance` has something to do next.
   std::optional<MonoTime> nextDue() const;
 
+  /// Terms count from `from`, here and below; from `now` when it is null.
   ModelResult<FencingToken> acquire(const EntryVmId &holder, Millis term,
                                     std::optional<FencingToken> previous,
-                                    MonoTime now);
+                                    MonoTime now,
+                                    std::optional<ServerTime> from = {});
   /// Renews; `changedSince` then tells what the answer holds.
   ModelResult<std::monostate> sync(const SyncRequest &request, MonoTime now);
   ModelResult<std::monostate> prepare(FencingToken token,
                                       const PrepareTask &task,
                                       const Program &program, MonoTime now);
   ModelResult<std::monostate> release(FencingToken token, const TaskId &task,
-                                      MonoTime now);
+                                      MonoTime now,
+                                      std::optional<ServerTime> from = {});
   ModelResult<TaskState> stop(FencingToken token, const TaskId &task,
                               MonoTime now);
 
--- a/testing/standins/src/backend_json.cpp
+++ b/testing/standins/src/backend_json.cpp
@@ -47,6 +47,12 @@
   return program;
 }
 
+std::optional<ServerTime> fromOf(const json &body) {
+  if (!body.contains("from_ms"))
+    return std::nullopt;
+  return ServerTime(Millis(numberField(body, "from_ms", 0)));
+}
+
 std::optional<PrepareTask> prepareOf(const json &body) {
   const json job = objectField(body, "job");
   const auto slots = indexesField(body, "slots");
@@ -67,6 +73,7 @@
   out.Request = textField(body, "request");
   out.StartBy = Millis(startBy);
   out.TaskTerm = Millis(term);
+  out.From = fromOf(body);
   return out;
 }
 
@@ -80,6 +87,7 @@
   out.Wait = Millis(numberField(body, "wait_ms", 0));
   for (auto &it : textsField(body, "acknowledge"))
     out.Acknowledged.emplace_back(std::move(it));
+  out.From = fromOf(body);
   return out;
 }
 
--- a/testing/standins/src/backend_json.h
+++ b/testing/standins/src/backend_json.h
@@ -16,6 +16,8 @@
 
 /// Null when a member is missing or malformed.
 std::optional<PrepareTask> prepareOf(const nlohmann::json &body);
+/// Null for callers whose terms count from the receipt.
+std::optional<ServerTime> fromOf(const nlohmann::json &body);
 SyncRequest syncOf(const nlohmann::json &body);
 
 nlohmann::json stateJson(const TaskState &state, std::uint64_t version);
--- a/testing/standins/src/backend_server_model.cpp
+++ b/testing/standins/src/backend_server_model.cpp
@@ -13,6 +13,7 @@
 constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
 constexpr int Conflict = 409;
+constexpr const char *TooLate = "the call came after the end that it asks for";
 /// How long a task of a failing server runs at most.
 constexpr Millis FailAfter{10};
 
@@ -31,6 +32,11 @@
   });
 }
 
+/// A call that comes late gives no more time than its caller counts on.
+MonoTime countedFrom(const std::optional<ServerTime> &from, MonoTime now) {
+  return from ? std::min(MonoTime(from->time_since_epoch()), now) : now;
+}
+
 } // namespace
 
 const char *toString(TaskStatus status) {
@@ -105,15 +111,18 @@
 
 ModelResult<FencingToken>
 BackendServerModel::acquire(const EntryVmId &holder, Millis term,
-                            std::optional<FencingToken> previous,
-                            MonoTime now) {
+                            std::optional<FencingToken> previous, MonoTime now,
+                            std::optional<ServerTime> from) {
   advance(now);
+  const MonoTime end = countedFrom(from, now) + term;
+  if (end <= now)
+    return refused(refusal(Conflict, TooLate, now), nullptr, now);
   const bool handedOver = previous && *previous == Token;
   if (leased(now) && Holder != holder && !handedOver)
     return refused(refusal(Conflict, "the lease is held", now), nullptr, now);
   Token = Token.next();
   Holder = holder;
-  LeaseEnd = now + term;
+  LeaseEnd = end;
   LapseTold = false;
   emit(BackendEventKind::LeaseGranted, nullptr, now);
   return Token;
@@ -124,10 +133,11 @@
   advance(now);
   if (const auto why = refuse(request.Token, now))
     return refused(*why, nullptr, now);
-  LeaseEnd = now + request.LeaseTerm;
+  const MonoTime from = countedFrom(request.From, now);
+  LeaseEnd = std::max(LeaseEnd, from + request.LeaseTerm);
   for (auto &[id, it] : Tasks)
     if (it.State.Status == TaskStatus::Running)
-      it.LeaseEnd = now + request.TaskTerm;
+      it.LeaseEnd = std::max(it.LeaseEnd, from + request.TaskTerm);
   for (const auto &id : request.Acknowledged) {
     const auto it = Tasks.find(id);
     if (it != Tasks.end() && it->second.State.ended())
@@ -158,13 +168,16 @@
     return std::monostate{};
   if (known != Tasks.end())
     return refused(refusal(Conflict, "the task has ended", now), &state, now);
+  const MonoTime startBy = countedFrom(task.From, now) + task.StartBy;
+  if (task.From && startBy <= now)
+    return refused(refusal(Conflict, TooLate, now), &state, now);
   if (auto why = checkPrepare(task))
     return refused(refusal(why->Status, why->Reason, now), &state, now);
   Entry &entry = Tasks[task.Task];
   entry.State = std::move(state);
   entry.Runs = program;
   entry.Term = task.TaskTerm;
-  entry.LeaseEnd = now + task.StartBy;
+  entry.LeaseEnd = startBy;
   entry.ChangedAt = ++Version;
   emit(BackendEventKind::Prepared, &entry.State, now);
   return std::monostate{};
@@ -183,9 +196,9 @@
   return std::nullopt;
 }
 
-ModelResult<std::monostate> BackendServerModel::release(FencingToken token,
-                                                        const TaskId &task,
-                                                        MonoTime now) {
+ModelResult<std::monostate>
+BackendServerModel::release(FencingToken token, const TaskId &task,
+                            MonoTime now, std::optional<ServerTime> from) {
   advance(now);
   const auto it = Tasks.find(task);
   const TaskState *state = it == Tasks.end() ? nullptr : &it->second.State;
@@ -196,6 +209,9 @@
   if (!state || state->Status != TaskStatus::Prepared)
     return refused(refusal(NotFound, "not prepared", now), state, now);
   Entry &entry = it->second;
+  const MonoTime leaseEnd = countedFrom(from, now) + entry.Term;
+  if (leaseEnd <= now)
+    return refused(refusal(Conflict, TooLate, now), state, now);
   if (FailAll) {
     entry.Runs.Fail = true;
     entry.Runs.Run = std::min(entry.Runs.Run, FailAfter);
@@ -204,7 +220,7 @@
   entry.State.Ran = true;
   entry.ReleasedAt = now;
   entry.ProgramEnd = now + entry.Runs.Run;
-  entry.LeaseEnd = now + entry.Term;
+  entry.LeaseEnd = leaseEnd;
   entry.ChangedAt = ++Version;
   emit(BackendEventKind::Released, &entry.State, now);
   return std::monostate{};
--- a/testing/standins/src/backend_server_model_test.cpp
+++ b/testing/standins/src/backend_server_model_test.cpp
@@ -23,6 +23,8 @@
   return out;
 }
 
+ServerTime at(MonoTime time) { return ServerTime(time.time_since_epoch()); }
+
 struct Fixture {
   std::vector<BackendEventKind> Events;
   BackendServerModel Model{
@@ -37,8 +39,9 @@
 
   void sync(FencingToken token, MonoTime now,
             std::vector<TaskId> acknowledged = {}) {
-    const SyncRequest call{token, Term,      Millis(3000),
-                           0,     Millis(0), std::move(acknowledged)};
+    const SyncRequest call{token,       Term,      Millis(3000),
+                           0,           Millis(0), std::move(acknowledged),
+                           std::nullopt};
     BOOST_REQUIRE(
         std::holds_alternative<std::monostate>(Model.sync(call, now)));
   }
@@ -213,3 +216,51 @@
   BOOST_CHECK(state("b").Status == TaskStatus::Dropped);
   BOOST_TEST(!state("b").Ran);
 }
+
+// Guards against: a call that is carried out late gives a lease that lasts
+// longer than its caller counts on.
+BOOST_FIXTURE_TEST_CASE(a_late_call_gives_no_time_beyond_its_end, Fixture) {
+  const auto token = acquire(First, Start);
+  run(token, "a", Seconds(60), Start);
+  SyncRequest call{token, Term, Millis(3000), 0, Millis(0), {}, at(Start)};
+  BOOST_REQUIRE(std::holds_alternative<std::monostate>(
+      Model.sync(call, Start + Millis(900))));
+  BOOST_TEST(!Model.refuse(token, Start + Millis(999)));
+  BOOST_TEST(Model.refuse(token, Start + Term).has_value());
+  Model.advance(Start + Millis(3000));
+  BOOST_TEST(toString(state("a").Status) == "lapsed");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_call_takes_no_time_away, Fixture) {
+  const auto token = acquire(First, Start);
+  sync(token, Start + Millis(900));
+  const SyncRequest call{token,     Term, Millis(3000), 0,
+                         Millis(0), {},   at(Start)};
+  BOOST_REQUIRE(std::holds_alternative<std::monostate>(
+      Model.sync(call, Start + Millis(950))));
+  BOOST_TEST(!Model.refuse(token, Start + Millis(1899)));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_call_after_the_end_that_it_asks_for_is_refused,
+                        Fixture) {
+  BOOST_TEST(
+      statusOf(Model.acquire(First, Term, {}, Start + Term, at(Start))) == 409);
+  const auto token = acquire(First, Start + Term);
+  const MonoTime late = Start + Millis(1500);
+  PrepareTask prepared = task("a", {0});
+  prepared.From = at(Start);
+  BOOST_TEST(statusOf(Model.prepare(token, prepared, {}, late)) == 409);
+  prepared.From = at(late);
+  BOOST_TEST(statusOf(Model.prepare(token, prepared, {}, late)) == 200);
+  BOOST_TEST(statusOf(Model.release(token, TaskId("a"), late,
+                                    at(late - Millis(3000)))) == 409);
+  BOOST_TEST(!state("a").Ran);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_term_never_counts_from_the_future, Fixture) {
+  const auto lease =
+      Model.acquire(First, Term, {}, Start, at(Start + Seconds(60)));
+  BOOST_REQUIRE(std::holds_alternative<FencingToken>(lease));
+  BOOST_TEST(
+      Model.refuse(std::get<FencingToken>(lease), Start + Term).has_value());
+}
--- a/testing/standins/src/backend_service.cpp
+++ b/testing/standins/src/backend_service.cpp
@@ -88,7 +88,8 @@
   std::optional<FencingToken> previous;
   if (const auto it = numberField(body, "previous_token", -1); it >= 0)
     previous = FencingToken(static_cast<std::uint64_t>(it));
-  const auto result = Model.acquire(holder, Millis(term), previous, monoNow());
+  const auto result =
+      Model.acquire(holder, Millis(term), previous, monoNow(), fromOf(body));
   if (const auto *refusal = std::get_if<Refusal>(&result))
     return refusalResponse(*refusal);
   return {200, dump({{"token", std::get<FencingToken>(result).value()}})};
@@ -108,8 +109,8 @@
 }
 
 HttpResponse BackendService::release(const json &body) {
-  const auto result =
-      Model.release(tokenOf(body), TaskId(textField(body, "task")), monoNow());
+  const auto result = Model.release(
+      tokenOf(body), TaskId(textField(body, "task")), monoNow(), fromOf(body));
   if (const auto *refusal = std::get_if<Refusal>(&result))
     return refusalResponse(*refusal);
   return {200, "{}"};
@@ -129,7 +130,8 @@
     SampledAt = now;
     SampledBusy = Model.busySlots();
   }
-  return {200, dump({{"as_of_ms_ago", (now - SampledAt).count()},
+  return {200, dump({{"now_ms", toMillis(now)},
+                     {"as_of_ms_ago", (now - SampledAt).count()},
                      {"slots_busy", SampledBusy}})};
 }
 
@@ -163,8 +165,9 @@
   json tasks = json::array();
   for (const auto &[version, state] : Model.changedSince(since))
     tasks.push_back(stateJson(state, version));
-  return {200,
-          dump({{"version", Model.version()}, {"tasks", std::move(tasks)}})};
+  return {200, dump({{"now_ms", toMillis(monoNow())},
+                     {"version", Model.version()},
+                     {"tasks", std::move(tasks)}})};
 }
 
 void BackendService::control(const json &body, const HttpResponder &responder) {
--- a/testing/standins/src/services_test.cpp
+++ b/testing/standins/src/services_test.cpp
@@ -98,9 +98,18 @@
 
   MonoTime soon() const { return monoNow() + Seconds(2); }
 
+  ServerTime serverNow() {
+    Await<ServerTime> answer(Loop);
+    Backend.clock(At, soon(), answer.callback());
+    const auto &result = answer.result();
+    BOOST_REQUIRE(std::holds_alternative<ServerTime>(result));
+    return std::get<ServerTime>(result);
+  }
+
   FencingToken acquire() {
     Await<FencingToken> answer(Loop);
-    Backend.acquire(At, Holder, Millis(2000), {}, soon(), answer.callback());
+    Backend.acquire(At, Holder, Millis(2000), serverNow(), {}, soon(),
+                    answer.callback());
     const auto &result = answer.result();
     BOOST_REQUIRE(std::holds_alternative<FencingToken>(result));
     return std::get<FencingToken>(result);
@@ -121,15 +130,17 @@
 
   void release(FencingToken token) {
     Await<std::monostate> answer(Loop);
-    Backend.release(At, token, TaskId("t1"), soon(), answer.callback());
+    Backend.release(At, token, TaskId("t1"), serverNow(), soon(),
+                    answer.callback());
     BOOST_REQUIRE(std::holds_alternative<std::monostate>(answer.result()));
   }
 
   PortResult<SyncAnswer> sync(FencingToken token, std::uint64_t since,
                               Millis wait) {
     Await<SyncAnswer> answer(Loop);
-    Backend.sync(At, {token, Millis(2000), Millis(2000), since, wait, {}},
-                 soon(), answer.callback());
+    Backend.sync(
+        At, {token, Millis(2000), Millis(2000), since, wait, {}, serverNow()},
+        soon(), answer.callback());
     return answer.result();
   }
 };
@@ -228,9 +239,10 @@
 BOOST_FIXTURE_TEST_CASE(a_waiting_holder_learns_that_it_is_fenced,
                         BackendFixture) {
   const auto token = acquire();
+  const ServerTime from = serverNow();
   const Timer later = Loop.at(monoNow() + Millis(50), [&] {
-    Backend.acquire(At, EntryVmId("lahore-1-e2"), Millis(1000), token, soon(),
-                    [](const PortResult<FencingToken> &) {});
+    Backend.acquire(At, EntryVmId("lahore-1-e2"), Millis(1000), from, token,
+                    soon(), [](const PortResult<FencingToken> &) {});
   });
   const auto result = sync(token, 0, Millis(1500));
   BOOST_REQUIRE(std::holds_alternative<Rejected>(result));
@@ -239,11 +251,12 @@
 
 BOOST_FIXTURE_TEST_CASE(a_dead_server_gives_no_answer, BackendFixture) {
   const auto token = acquire();
+  const ServerTime from = serverNow();
   Http.call(At, {"POST", "/control", R"({"dead":true})", ""}, soon(),
             [this](const HttpResult &) { Loop.stop(); });
   Loop.runUntil(monoNow() + Seconds(2));
   Await<std::monostate> answer(Loop);
-  Backend.release(At, token, TaskId("t1"), monoNow() + Millis(100),
+  Backend.release(At, token, TaskId("t1"), from, monoNow() + Millis(100),
                   answer.callback());
   BOOST_CHECK(std::holds_alternative<NoAnswer>(answer.result()));
 }
