Take the nearest departure that a draining server's reports tell

Cause: the time that a draining server stays at least was counted from the reading of its first draining entry, which may be seconds old, and later reports were not looked at.

Callers: a task with checkpoints that could not end before the server left was not stopped in time when the notice had been read late; it ran on until the server left and lost what it had done since its last checkpoint. No run is started and none is taken as ended on the strength of this time.

Ruled out: reports out of order. Each value is too late by the age of its report, so the least is the nearest; a server that served again in between begins anew.

Test: workload_test later_report_corrects_a_drain_notice_that_was_read_late; on the old code "slot.EarliestDepartureAt == Start + Millis(20000) has failed".

--- a/packages/workload/src/server_table.cpp
+++ b/packages/workload/src/server_table.cpp
@@ -1,6 +1,8 @@
 // Bookkeeping of the free resources of backend servers.
 #include "citrongap/workload/server_table.h"
 
+#include <algorithm>
+
 namespace citrongap {
 
 ServerSlot &ServerTable::put(const ServerEntry &entry, MonoTime now) {
@@ -13,8 +15,13 @@
     slot.Free += entry.Capacity;
     slot.Free -= slot.Entry.Capacity;
   }
-  if (entry.Draining && !slot.Entry.Draining)
-    slot.EarliestDepartureAt = now + Millis(entry.DrainRemainingMs);
+  if (entry.Draining) {
+    // Too late by the age of the report, so the least value is the nearest.
+    const MonoTime departureAt = now + Millis(entry.DrainRemainingMs);
+    slot.EarliestDepartureAt =
+        slot.Entry.Draining ? std::min(slot.EarliestDepartureAt, departureAt)
+                            : departureAt;
+  }
   slot.Entry = entry;
   return slot;
 }
