--- a/packages/daemon/src/fake_backends.h
+++ b/packages/daemon/src/fake_backends.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,8 @@
   std::vector<BackendServer> list() const;
   /// Every call to the server is left without effect and answer.
   void setSilent(const BackendServerId &server, bool on);
+  /// Every call to the server takes effect so late, and its answer is lost.
+  void loseAnswers(const BackendServerId &server, Millis late = Millis(0));
   /// The server refuses its next `n` prepares.
   void refusePrepares(const BackendServerId &server, unsigned n);
   /// The next releases take effect and their answers are lost.
@@ -35,19 +38,23 @@
   /// Parts of `job` that were released, on all servers.
   unsigned releases(const JobId &job) const;
   unsigned prepares(const BackendServerId &server) const;
+  /// The server that was last asked to run a part of `job`.
+  BackendServerId serverOf(const JobId &job) const;
   /// Longest time that a part of a gang ran while another did not, by now.
   unsigned running(const JobId &job);
 
+  void clock(const Endpoint &server, MonoTime deadline,
+             PortCallback<ServerTime> callback) override;
   void acquire(const Endpoint &server, const EntryVmId &holder, Millis term,
-               std::optional<FencingToken> previous, MonoTime deadline,
-               PortCallback<FencingToken> callback) override;
+               ServerTime from, std::optional<FencingToken> previous,
+               MonoTime deadline, PortCallback<FencingToken> callback) override;
   void sync(const Endpoint &server, const SyncRequest &request,
             MonoTime deadline, PortCallback<SyncAnswer> callback) override;
   void prepare(const Endpoint &server, FencingToken token,
                const PrepareTask &task, MonoTime deadline,
                PortCallback<std::monostate> callback) override;
   void release(const Endpoint &server, FencingToken token, const TaskId &task,
-               MonoTime deadline,
+               ServerTime from, MonoTime deadline,
                PortCallback<std::monostate> callback) override;
   void stop(const Endpoint &server, FencingToken token, const TaskId &task,
             bool checkpoint, MonoTime deadline,
@@ -58,6 +65,8 @@
     BackendServer About;
     std::unique_ptr<standins::BackendServerModel> Model;
     bool Silent = false;
+    /// Set while answers are lost: how late calls take effect.
+    std::optional<Millis> LostAfter;
     unsigned Prepares = 0;
     unsigned RefusedPrepares = 0;
   };
@@ -73,6 +82,7 @@
   EventLoop &Loop;
   std::map<Endpoint, Server> Servers;
   std::map<JobId, unsigned> Released;
+  std::map<JobId, BackendServerId> ReleasedOn;
   std::map<JobId, std::set<TaskId>> RunningTasks;
   unsigned LostReleases = 0;
   bool PreparedLate = false;
--- a/packages/daemon/src/gang_run.cpp
+++ b/packages/daemon/src/gang_run.cpp
@@ -85,7 +85,8 @@
                          Parts[part].Where.Slots,
                          RequestText,
                          Terms.StartBy,
-                         Terms.TaskTerm};
+                         Terms.TaskTerm,
+                         session->serverTime(now)};
   Port.prepare(session->about().Address, *session->token(), task,
                now + CallPatience,
                guarded<std::monostate>(
@@ -127,7 +128,7 @@
   Parts[part].ReleaseSent = true;
   Parts[part].GoneAt = now + CallPatience + Terms.TaskTerm;
   Port.release(session->about().Address, *session->token(), taskOf(part),
-               now + CallPatience,
+               session->serverTime(now), now + CallPatience,
                guarded<std::monostate>(
                    [this, part](const PortResult<std::monostate> &result) {
                      onReleased(part, result);
@@ -191,12 +192,11 @@
   for (std::uint32_t i = 0; i < Parts.size(); ++i) {
     Part &part = Parts[i];
     const ServerSession *session = Sessions(part.Where.Server);
-    if (session && session->ready(now)) {
+    if (session && session->ready(now))
       part.SeenAt = std::max(part.SeenAt, session->renewedAt());
-      if (part.ReleaseSent)
-        part.GoneAt = std::max(part.GoneAt, session->renewedAt() +
-                                                CallPatience + Terms.TaskTerm);
-    }
+    if (session && part.ReleaseSent)
+      part.GoneAt = std::max(part.GoneAt, session->renewalAskedAt() +
+                                              CallPatience + Terms.TaskTerm);
     if (!part.Ended && now - part.SeenAt > patience) {
       lost = true;
       Unresponsive.push_back(part.Where.Server);
