Keep reads of the in-memory store waiting for as long as asked

Cause: timers fire early by up to the age of the event loop's cached time, so that a stalled test process had its read answered before its wait had ended, which no store does.

Seen once: store_test in a busy moment; traced with 24 runs, 8 at a time: topic_reader/late_answer_without_records_claims_no_later_records failed in 2 of 24 (currentAsOf() <= appendedAt). The check is unchanged.

--- a/packages/store/include/citrongap/store/memory_store.h
+++ b/packages/store/include/citrongap/store/memory_store.h
@@ -93,6 +93,8 @@
   /// All records from `from` on.
   TopicPage makePage(const TopicId &topic, LogOffset from);
   void answerPendingReads(const TopicId &topic);
+  /// Answers the read at `until` unless a record comes before.
+  void awaitRecord(std::list<PendingRead>::iterator at, MonoTime until);
   GroupMembership join(const std::string &member, Millis sessionTimeout);
   /// Removes the members whose session has expired.
   void expireMembers();
--- a/packages/store/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -187,11 +187,20 @@
   }
   Store.PendingReads.push_back({topic, from, Timer(), std::move(done)});
   const auto at = std::prev(Store.PendingReads.end());
-  // The store outlives this view, so the callback captures only the store.
-  at->WaitTimer = Store.Loop.at(waitUntil, [&store = Store, at] {
-    const MemoryStore::PendingRead pending = std::move(*at);
-    store.PendingReads.erase(at);
-    pending.Done(store.makePage(pending.Source, pending.From));
+  Store.awaitRecord(at, waitUntil);
+}
+
+void MemoryStore::awaitRecord(std::list<PendingRead>::iterator at,
+                              MonoTime until) {
+  at->WaitTimer = Loop.at(until, [this, at, until] {
+    // Timers are early by up to the age of the loop's cached time.
+    if (monoNow() < until) {
+      awaitRecord(at, until);
+      return;
+    }
+    const PendingRead pending = std::move(*at);
+    PendingReads.erase(at);
+    pending.Done(makePage(pending.Source, pending.From));
   });
 }
 
