Use a new reading of a server's clock once the old one is aging

After one quick answer and then only slower ones it passed the age limit, and leases were not renewed although every poll was answered: work lapsed and was started again.

server_lease/leases_are_renewed_by_answers_later_than_the_first failed first: Fleet.started() == 1U has failed [2 != 1].

--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -142,11 +142,11 @@
                          MonoTime now);
   void onPollFailed(const FleetError &error);
   void readClock(ServerClockMs clock);
-  /// Earliest time that the server's clock may show now.
-  ServerClockMs earliestClock() const;
-  /// Latest end that may be requested now for a lease; empty without a recent
-  /// reading of the server's clock.
-  std::optional<ServerClockMs> leaseUntil() const;
+  /// Earliest time that the server's clock may show at `now`.
+  ServerClockMs earliestClock(MonoTime now) const;
+  /// Latest end that may be requested for a lease at `now`; empty without a
+  /// recent reading of the server's clock.
+  std::optional<ServerClockMs> leaseUntil(MonoTime now) const;
   bool needsPoll() const;
   void schedulePoll(Millis wait);
 
@@ -163,6 +163,7 @@
   std::map<TaskName, TrackedRun> TrackedRuns;
   bool Active = true;
   bool LongPollInFlight = false;
+  int ListRequestsInFlight = 0;
   /// The lists were received at least once under `Token`.
   bool Synchronized = false;
   bool IncarnationEnded = false;
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -119,6 +119,7 @@
       out.Controller.Link.RetryDelay = Millis(10);
       out.Controller.Link.MaxLease = site.MaxLease;
       out.Controller.Link.LeaseEndMargin = Millis(20);
+      out.Controller.Link.MaxClockAge = site.MaxClockAge;
       return out;
     }
     MemoryStoreView View;
@@ -128,6 +129,8 @@
   std::map<std::string, std::unique_ptr<Vm>> Vms;
   /// Longest lease that the entry VMs request.
   Millis MaxLease;
+  /// For entry VMs that are added later.
+  Millis MaxClockAge{10000};
   /// Silence after which a server's entry is removed, for entry VMs that are
   /// added later.
   Millis ReportTimeout{100};
--- a/packages/control/src/fake_fleet.cpp
+++ b/packages/control/src/fake_fleet.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr ServerClockMs FirstClock = 5000;
-/// Polls are answered after this delay instead of their requested wait.
-constexpr Millis ShortPollDelay{10};
 
 } // namespace
 
@@ -20,7 +18,7 @@
   MonoTime when = lost ? deadline : monoNow();
   if constexpr (std::is_same_v<T, PollAnswer>)
     if (!lost)
-      when += ShortPollDelay;
+      when += PollDelay;
   FleetResult<T> delivered =
       lost ? FleetResult<T>(FleetError(OrderOutcomeUnknown{"lost"})) : result;
   PendingReplies.push_back(
--- a/packages/control/src/fake_fleet.h
+++ b/packages/control/src/fake_fleet.h
@@ -55,6 +55,8 @@
   /// Longest lease that servers grant, counted from the arrival of the request.
   /// Without a value, runs need no lease.
   std::optional<Millis> MaxLease;
+  /// Polls are answered after this delay instead of their requested wait.
+  Millis PollDelay{10};
   /// Rate of the servers' clocks.
   double ClockRate = 1.0;
 
--- a/packages/control/src/server_lease_test.cpp
+++ b/packages/control/src/server_lease_test.cpp
@@ -91,4 +91,21 @@
   BOOST_TEST(mostRunsWithin(Millis(400)) == 1U);
 }
 
+// Leases must be renewed while all answers are later than the first one, whose
+// reading of the clock stays the best until it is too old.
+BOOST_FIXTURE_TEST_CASE(leases_are_renewed_by_answers_later_than_the_first,
+                        LeaseSite) {
+  MaxClockAge = Millis(500);
+  kill("vm-2");
+  add("vm-2");
+  kill("vm-1");
+  runFor(Millis(300));
+  BOOST_TEST(submit("vm-2") == "accepted");
+  runFor(Millis(30));
+  Fleet.PollDelay = Millis(35);
+  BOOST_TEST(mostRunsWithin(Millis(1500)) == 1U);
+  BOOST_TEST(Fleet.started() == 1U);
+  BOOST_TEST(Fleet.running() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -77,23 +77,25 @@
   pollIfNeeded();
 }
 
-ServerClockMs ServerLink::earliestClock() const {
-  const Millis age = monoNow() - LastClock->ReceivedAt;
+ServerClockMs ServerLink::earliestClock(MonoTime now) const {
+  const Millis age = now - LastClock->ReceivedAt;
   return LastClock->Clock +
          static_cast<ServerClockMs>(static_cast<double>(age.count()) /
                                     Options.MaxClockSlowdown);
 }
 
-std::optional<ServerClockMs> ServerLink::leaseUntil() const {
-  if (!LastClock || monoNow() - LastClock->ReceivedAt > Options.MaxClockAge)
+std::optional<ServerClockMs> ServerLink::leaseUntil(MonoTime now) const {
+  if (!LastClock || now - LastClock->ReceivedAt > Options.MaxClockAge)
     return std::nullopt;
-  return earliestClock() + Options.MaxLease.count();
+  return earliestClock(now) + Options.MaxLease.count();
 }
 
 void ServerLink::readClock(ServerClockMs clock) {
-  // An answer that was overtaken tells an earlier time.
-  if (!LastClock || clock > earliestClock())
-    LastClock = {clock, monoNow()};
+  // An answer that was late tells an earlier time than is known.
+  const MonoTime now = monoNow();
+  if (!LastClock || clock > earliestClock(now) ||
+      now - LastClock->ReceivedAt > Options.MaxClockAge / 2)
+    LastClock = {clock, now};
 }
 
 void ServerLink::sendStart(const TaskName &task) {
@@ -112,10 +114,11 @@
         Loop.at(now + Options.RetryDelay, [this, task] { sendStart(task); });
     return;
   }
-  const auto until = leaseUntil();
+  const auto until = leaseUntil(now);
   if (!until) {
     // applyLists() sends the start once the answer has told the clock.
-    requestLists();
+    if (ListRequestsInFlight == 0)
+      requestLists();
     pollIfNeeded();
     return;
   }
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -17,7 +17,7 @@
   // After a failed poll no lease is renewed: the leases of a server that may be
   // unreachable shall end soon.
   if (FailedPolls == 0 && !TrackedRuns.empty()) {
-    request.LeaseUntil = leaseUntil();
+    request.LeaseUntil = leaseUntil(now);
     if (request.LeaseUntil)
       LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
   }
@@ -30,6 +30,7 @@
   if (IncarnationEnded || !Active || !LongPollInFlight || FailedPolls > 0 ||
       !Notify.MayAct())
     return;
+  ++ListRequestsInFlight;
   PollRequest request;
   request.AcknowledgedUpTo = RecordedUpTo;
   sendPoll(request, false);
@@ -43,6 +44,8 @@
               alive = std::weak_ptr<int>(Alive)](auto result) {
                if (!alive.lock())
                  return;
+               if (!isLongPoll)
+                 --ListRequestsInFlight;
                // A failed list request is ignored: the long poll is still in
                // flight.
                if (isLongPoll || std::holds_alternative<PollAnswer>(result))
