--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -88,6 +88,8 @@
   /// Entries that were removed while the owner did not read are not among the
   /// keys of a load.
   void onServersLoaded(const std::set<std::string> &keys);
+  /// Time since the server list was current; before that, since the take-over.
+  Millis listAge() const;
   /// Notes when the record of `id` that is being read was appended.
   void noteReport(const BackendServerId &id);
   /// Removes unreachable servers whose entry is missing: draining ones that
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -39,6 +39,10 @@
   ServersReader.OnLoaded = [this](const std::set<std::string> &keys) {
     onServersLoaded(keys);
   };
+  ServersReader.OnHealth = [this](bool works, const std::string &reason) {
+    Log("store", works ? "regained" : "lost",
+        "topic=servers list_age_ms={} why=\"{}\"", listAge().count(), reason);
+  };
 }
 
 PodController::~PodController() = default;
@@ -264,9 +268,10 @@
       continue;
     Log("order", "start",
         "task={} run={} server={} resumed={} rank={} waited_ms={} near={} "
-        "late={}",
+        "late={} list_age_ms={}",
         it.Task.str(), it.Run, it.Server.Id.str(), !it.Checkpoint.empty(),
-        it.Rank, it.Waited.count(), it.PreferredPlacement, it.ExpectedLate);
+        it.Rank, it.Waited.count(), it.PreferredPlacement, it.ExpectedLate,
+        listAge().count());
     Metrics.StartWait[it.Rank].observe(it.Waited);
     link->second->start(it);
   }
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -44,6 +44,10 @@
     addLink(*entry);
 }
 
+Millis PodController::listAge() const {
+  return monoNow() - ServersReader.currentAsOf().value_or(TookOverAt);
+}
+
 void PodController::onEntryRemoved(const BackendServerId &id) {
   if (ListedServers.contains(id)) {
     const auto report = ReportedAfter.find(id);
