Start nothing on a server by a list that is too old

Cause: the owner sent starts by its server list however old it was, though ServersReader.currentAsOf() told it, and it sent a start without an answer again and again after the server was listed as draining.

Fix: the link asks at the moment of sending, for retries too. With a list older than drain_ms less the 700 ms of an order, starts wait and are sent once it is current. On a draining server, a start that was never sent goes back to the planner; one without an answer is abandoned: its stop makes the server refuse it, and it is placed elsewhere once the lists show that.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -28,6 +28,10 @@
   /// Interval of reads of the server list. A draining server must get no new
   /// runs after 2 s.
   Millis ServerListInterval{250};
+  /// Starts are sent by a server list that was current at most this long ago.
+  /// Shorter than the platform's bound for starts after a drain notice, by the
+  /// time that an order may take.
+  Millis MaxListAge{1300};
   /// An earlier owner may renew leases for this long after it lost ownership.
   Millis OwnershipTimeout{1500};
   /// Ended jobs can be queried for at least this long.
@@ -88,6 +92,8 @@
   /// Entries that were removed while the owner did not read are not among the
   /// keys of a load.
   void onServersLoaded(const std::set<std::string> &keys);
+  /// Whether a start may be sent to the server by the list as it is known.
+  StartPermission mayStart(const ServerIncarnation &incarnation);
   /// Time since the server list was current; before that, since the take-over.
   Millis listAge() const;
   /// Notes when the record of `id` that is being read was appended.
@@ -154,6 +160,8 @@
   /// Invariant: true only while `Planner` and `Appender` are set.
   bool Active = false;
   bool AppendInFlight = false;
+  /// Starts wait, as of the latest mayStart().
+  bool ListStale = false;
   MonoTime TookOverAt;
   MonoTime NextUnlistedCheck;
   Timer RoundTimer;
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -52,12 +52,24 @@
   }
 };
 
+/// Whether a start may be sent to a server.
+enum class StartPermission : std::uint8_t {
+  Granted,
+  /// The server list is too old to tell.
+  ListStale,
+  /// The server has announced that it leaves.
+  Leaving
+};
+
 class ServerLink {
 public:
   struct Events {
     /// Whether the ownership still lasts, asked before each order and poll. If
     /// not, the link tries again later: the ownership may be renewed.
     std::function<bool()> MayAct;
+    /// Asked at the moment of sending, for retries too. With a stale list, the
+    /// link tries again later.
+    std::function<StartPermission(const ServerIncarnation &)> MayStart;
     /// The planner's state changed, so that a round should run.
     std::function<void()> Changed;
     /// The server has accepted a higher fencing token.
@@ -135,6 +147,9 @@
   void sendUnconfirmedStarts();
   /// Returns the runs whose start was never sent to the planner.
   void returnUnsentStarts();
+  void returnUnsentStart(const TaskName &task, std::uint32_t run);
+  /// Gives up a start without an answer; returns one that was never sent.
+  void withdrawStart(const TaskName &task, const TrackedRun &tracked);
   void stopObsoleteRuns();
   void applyRunning(const ListedRun &run, MonoTime now);
   void applyRunEnd(const RunEndReport &end, MonoTime now);
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -115,6 +115,7 @@
       out.Controller.ServerListInterval = Millis(20);
       out.Controller.OwnershipTimeout = Millis(150);
       out.Controller.ReportTimeout = Millis(100);
+      out.Controller.MaxListAge = Millis(200);
       out.Controller.Link.AnswerTimeout = Millis(40);
       out.Controller.Link.RetryDelay = Millis(10);
       out.Controller.Link.MaxLease = site.MaxLease;
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -48,6 +48,19 @@
   return monoNow() - ServersReader.currentAsOf().value_or(TookOverAt);
 }
 
+StartPermission PodController::mayStart(const ServerIncarnation &incarnation) {
+  const auto listed = ListedServers.find(incarnation.Id);
+  if (listed != ListedServers.end() &&
+      listed->second.Incarnation == incarnation && listed->second.Draining)
+    return StartPermission::Leaving;
+  const bool stale =
+      !ServersReader.currentAsOf() || listAge() > Options.MaxListAge;
+  if (std::exchange(ListStale, stale) != stale)
+    Log("servers", stale ? "starts_wait" : "starts_resume", "list_age_ms={}",
+        listAge().count());
+  return stale ? StartPermission::ListStale : StartPermission::Granted;
+}
+
 void PodController::onEntryRemoved(const BackendServerId &id) {
   if (ListedServers.contains(id)) {
     const auto report = ReportedAfter.find(id);
@@ -120,6 +133,9 @@
 ServerLink::Events PodController::linkEvents() {
   ServerLink::Events events;
   events.MayAct = [this] { return !MayAct || MayAct(); };
+  events.MayStart = [this](const ServerIncarnation &incarnation) {
+    return mayStart(incarnation);
+  };
   events.Changed = [this] { scheduleRound(); };
   events.Fenced = [this](const ServerIncarnation &incarnation) {
     Log("owner", "fenced_by_server", "server={} epoch={}", incarnation.Id.str(),
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -105,9 +105,15 @@
       !Planner.isCurrentRun(task, it.Order.Run, Incarnation))
     return;
   const MonoTime now = monoNow();
+  const StartPermission permission = Notify.MayStart(Incarnation);
+  if (permission == StartPermission::Leaving) {
+    withdrawStart(task, it);
+    return;
+  }
   // Each start requests a lease. Retries to an unreachable server would
   // postpone LatestLeaseEnd forever, and its runs would never be released.
-  if (FailedPolls >= Options.MaxFailedPolls || !Notify.MayAct()) {
+  if (FailedPolls >= Options.MaxFailedPolls || !Notify.MayAct() ||
+      permission == StartPermission::ListStale) {
     it.RetryTimer =
         Loop.at(now + Options.RetryDelay, [this, task] { sendStart(task); });
     return;
@@ -129,6 +135,19 @@
               });
 }
 
+void ServerLink::withdrawStart(const TaskName &task,
+                               const TrackedRun &tracked) {
+  const std::uint32_t run = tracked.Order.Run;
+  if (tracked.startNeverSent()) {
+    returnUnsentStart(task, run);
+  } else {
+    Log("order", "start_abandoned", "task={} run={} server={}", task.str(), run,
+        Incarnation.Id.str());
+    Planner.abandonStart(task, run, Incarnation);
+  }
+  Notify.Changed();
+}
+
 void ServerLink::onStart(const TaskName &task, std::uint32_t run,
                          FleetResult<OrderAcknowledged> result) {
   const auto found = TrackedRuns.find(task);
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -142,17 +142,20 @@
   for (const auto &[task, it] : TrackedRuns)
     if (it.startNeverSent())
       unsent.emplace_back(task, it.Order.Run);
-  for (const auto &[task, run] : unsent) {
-    Log("order", "start_returned", "task={} run={} server={}", task.str(), run,
-        Incarnation.Id.str());
-    TrackedRuns.erase(task);
-    Planner.recordStartRefusal(task, run, Incarnation, StartRefusal::NoRoom,
-                               monoNow());
-  }
+  for (const auto &[task, run] : unsent)
+    returnUnsentStart(task, run);
   if (!unsent.empty())
     Notify.Changed();
 }
 
+void ServerLink::returnUnsentStart(const TaskName &task, std::uint32_t run) {
+  Log("order", "start_returned", "task={} run={} server={}", task.str(), run,
+      Incarnation.Id.str());
+  TrackedRuns.erase(task);
+  Planner.recordStartRefusal(task, run, Incarnation, StartRefusal::NoRoom,
+                             monoNow());
+}
+
 void ServerLink::stopObsoleteRuns() {
   // Covers stops that were decided before this link existed.
   std::vector<StopOrder> obsolete;
--- a/packages/store/include/citrongap/store/memory_store.h
+++ b/packages/store/include/citrongap/store/memory_store.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
   bool LoseAnswers = false;
   /// Calls have no effect and end as StoreOutcomeUnknown at their deadline.
   bool Silent = false;
+  /// Reads of these topics have no effect and end as StoreOutcomeUnknown at
+  /// their deadline.
+  std::set<TopicId> SilentTopics;
   /// Unless 0, appends are refused for good with this status.
   int RefuseWith = 0;
   /// Bulk pages of more bytes than this end as StoreOutcomeUnknown at their
@@ -144,6 +148,10 @@
 private:
   /// Applies `Busy` and `Silent`; true if the call is to be carried out.
   template <typename T> bool admit(MonoTime deadline, StoreCallback<T> done);
+  /// Applies `SilentTopics`.
+  template <typename T>
+  bool admitRead(const TopicId &topic, MonoTime deadline,
+                 StoreCallback<T> done);
   /// Gives `result` to `done` at the time `at`.
   template <typename T>
   void answer(StoreCallback<T> done, StoreResult<T> result, MonoTime at);
--- a/packages/store/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -146,6 +146,16 @@
   return !Faults.Silent && !Faults.Busy;
 }
 
+template <typename T>
+bool MemoryStoreView::admitRead(const TopicId &topic, MonoTime deadline,
+                                StoreCallback<T> done) {
+  const bool silent = Faults.SilentTopics.contains(topic);
+  if (silent)
+    answer<T>(std::move(done), StoreError(StoreOutcomeUnknown{"silent"}),
+              deadline);
+  return !silent;
+}
+
 void MemoryStoreView::append(const TopicId &topic, const AppendStamp &stamp,
                              const std::vector<KeyedRecord> &records,
                              MonoTime deadline,
@@ -170,7 +180,8 @@
 void MemoryStoreView::read(const TopicId &topic, LogOffset from,
                            MonoTime waitUntil, MonoTime deadline,
                            StoreCallback<TopicPage> done) {
-  if (!admit<TopicPage>(deadline, done))
+  if (!admit<TopicPage>(deadline, done) ||
+      !admitRead<TopicPage>(topic, deadline, done))
     return;
   MemoryStore::Topic &it = Store.Topics[topic];
   if (from.value() < it.FirstRetained) {
@@ -198,7 +209,8 @@
                                  const std::string &afterKey, ReadSize size,
                                  CallDeadline deadline,
                                  StoreCallback<LatestValuesPage> done) {
-  if (!admit<LatestValuesPage>(deadline.At, done))
+  if (!admit<LatestValuesPage>(deadline.At, done) ||
+      !admitRead<LatestValuesPage>(topic, deadline.At, done))
     return;
   const MemoryStore::Topic &it = Store.Topics[topic];
   LatestValuesPage page;
