--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -28,6 +28,10 @@
   /// Interval of reads of the server list. A draining server must get no new
   /// runs after 2 s.
   Millis ServerListInterval{250};
+  /// Starts are sent by a server list that was current at most this long ago.
+  /// Shorter than the platform's bound for starts after a drain notice, by the
+  /// time that an order may take.
+  Millis MaxListAge{1300};
   /// An earlier owner may renew leases for this long after it lost ownership.
   Millis OwnershipTimeout{1500};
   /// Ended jobs can be queried for at least this long.
@@ -103,6 +107,10 @@
   /// After a gap between reads, in which entries may have lapsed with an outage
   /// of the store, earlier reports prove no departure.
   void onServersRead();
+  /// Whether a start may be sent to the server by the list as it is known.
+  StartPermission mayStart(const ServerIncarnation &incarnation);
+  /// Time since the server list was current; before that, since the take-over.
+  Millis listAge() const;
   /// Notes when the record of `id` that is being read was appended.
   void noteReport(const BackendServerId &id);
   /// Removes unreachable servers whose entry is missing: draining ones that
@@ -175,6 +183,8 @@
   /// Invariant: true only while `Planner` and `Appender` are set.
   bool Active = false;
   bool AppendInFlight = false;
+  /// Starts wait, as of the latest mayStart().
+  bool ListStale = false;
   MonoTime TookOverAt;
   MonoTime NextUnlistedCheck;
   Timer RoundTimer;
