--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -35,7 +35,14 @@
           TopicReaderOptions{.Wait = Millis(0),
                              .ReadInterval = options.ServerListInterval},
           [this](const KeyedRecord &it) { onServerRecord(it); },
-          [this] { scheduleRound(); }) {
+          [this] {
+            onServersRead();
+            scheduleRound();
+          }) {
+  ServersReader.OnHealth = [this](bool healthy, const std::string &) {
+    if (!healthy)
+      ReportedAfter.clear();
+  };
   ServersReader.OnLoaded = [this](const std::set<std::string> &keys) {
     onServersLoaded(keys);
   };
@@ -112,8 +119,10 @@
   ListedServers.clear();
   MissingSince.clear();
   ReportedAfter.clear();
+  LastReadAt.clear();
   LatestIncarnations.clear();
   EndedIncarnations.clear();
+  ReplacedByEarlier.clear();
   // Callbacks of the appender and the links may be on the stack.
   RoundTimer = Loop.at(monoNow(), [this] { runRound(); });
   if (Appender) {
