Count a task as done when the end of its released run is listed

Cause: when the leases of an unreachable server have ended, its runs are released and their tasks wait. If the server is reached again before another run is placed, its list shows how the released runs ended, but the planner dropped ends of runs that were not placed: the owner acknowledged that a task had ended as done and then started it again. Callers would see its work done twice (by the platform's rule this is no TWICE, as the lease had ended between the two).

Now an end as done of the task's last run counts while no other run is placed; for a gang it counts for all members, as before.

Ruled out: a lease that outlasts the owner's count (the logs show no leases without a known clock any more, and no run beside another).

The new tests failed in three checks:

pod_planner_test.cpp(97): check (phase("a") == WorkPhase::Completed) has failed pod_planner_test.cpp(98): check planAfter(Seconds(1)).Starts.empty() has failed pod_planner_test.cpp(108): check (phase("a") == WorkPhase::Completed) has failed

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -227,6 +227,11 @@
 private:
   struct Unit;
   struct PreemptionCandidate;
+  /// The run was the task's last one and was released, after its lease or from
+  /// a list without it; no other has been placed.
+  bool isReleasedRun(const TaskName &task, std::uint32_t run,
+                     const ServerIncarnation &server) const;
+  void recordDone(const TaskName &task, std::int64_t wallMs, MonoTime now);
   TaskRecord *findCurrentRun(const TaskName &task, std::uint32_t run,
                              const ServerIncarnation &server);
   const TaskRecord *findTask(const TaskName &task) const;
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -181,35 +181,21 @@
                               RunOutcome outcome, const std::string &checkpoint,
                               MonoTime now, std::int64_t wallMs) {
   TaskRecord *record = findCurrentRun(task, run, server);
-  if (!record)
+  if (!record) {
+    if (outcome == RunOutcome::Done && isReleasedRun(task, run, server))
+      recordDone(task, wallMs, now);
     return;
+  }
   const bool gang = specOf(task).Gang;
   StepRecord &step = stepOf(task);
-  PlannedWork &work = Works.at(task.Work);
   const Millis ran = now - record->PlacedAt;
   release(task, *record, now);
   if (!checkpoint.empty())
     (gang ? step.Tasks.front() : *record).Checkpoint = checkpoint;
   if (outcome == RunOutcome::Done) {
     Health.recordSuccess(server.Id, now);
-    RunTimes.addSample({}, work.Spec.Queue.str(), ran.count());
-    if (work.Spec.LongRunning)
-      return;
-    record->Stage = TaskStage::Done;
-    if (gang)
-      for (TaskRecord &it : step.Tasks)
-        if (it.Stage == TaskStage::Waiting)
-          it.Stage = TaskStage::Done;
-    // The other members of the gang end on their own; the first completion
-    // counts for all of them.
-    if (gang)
-      for (std::uint32_t n = 0; n < step.Tasks.size(); ++n)
-        if (step.Tasks[n].Stage == TaskStage::Placed) {
-          const TaskName member{task.Work, task.Occurrence, task.Step, n};
-          release(member, step.Tasks[n], now);
-          step.Tasks[n].Stage = TaskStage::Done;
-        }
-    completeIfDone(task.Work, work, wallMs);
+    RunTimes.addSample({}, Works.at(task.Work).Spec.Queue.str(), ran.count());
+    recordDone(task, wallMs, now);
     return;
   }
   if (outcome == RunOutcome::Failed) {
@@ -222,6 +208,26 @@
     stopGang(task, "another member ended");
 }
 
+void PodPlanner::recordDone(const TaskName &task, std::int64_t wallMs,
+                            MonoTime now) {
+  PlannedWork &work = Works.at(task.Work);
+  if (work.Spec.LongRunning)
+    return;
+  Changed.insert(task.Work);
+  StepRecord &step = stepOf(task);
+  step.Tasks[task.Index].Stage = TaskStage::Done;
+  if (specOf(task).Gang)
+    // The other members of the gang end on their own; the first completion
+    // counts for all of them.
+    for (std::uint32_t n = 0; n < step.Tasks.size(); ++n) {
+      TaskRecord &it = step.Tasks[n];
+      if (it.Stage == TaskStage::Placed)
+        release({task.Work, task.Occurrence, task.Step, n}, it, now);
+      it.Stage = TaskStage::Done;
+    }
+  completeIfDone(task.Work, work, wallMs);
+}
+
 void PodPlanner::recordMissingRun(const TaskName &task, std::uint32_t run,
                                   const ServerIncarnation &server,
                                   MonoTime now) {
@@ -303,6 +309,13 @@
   return matches ? record : nullptr;
 }
 
+bool PodPlanner::isReleasedRun(const TaskName &task, std::uint32_t run,
+                               const ServerIncarnation &server) const {
+  const TaskRecord *record = findTask(task);
+  return record && record->Stage == TaskStage::Waiting && record->Run == run &&
+         record->Server == server;
+}
+
 const TaskRecord *PodPlanner::findTask(const TaskName &task) const {
   const auto it = Works.find(task.Work);
   if (it == Works.end())
--- a/packages/workload/src/pod_planner_test.cpp
+++ b/packages/workload/src/pod_planner_test.cpp
@@ -86,6 +86,40 @@
   BOOST_TEST((phase("a") == WorkPhase::Completed));
 }
 
+// A task that is known to have ended as done was started again.
+BOOST_AUTO_TEST_CASE(done_of_a_released_run_counts_while_no_other_is_placed) {
+  addServers(2);
+  submit(job("a", 1, 1, false));
+  const PlannedRound first = plan();
+  confirm(first);
+  Planner.expireLeases(first.Starts[0].Server, Now);
+  end(first.Starts[0], RunOutcome::Done);
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+  BOOST_TEST(planAfter(Seconds(1)).Starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(done_of_a_released_gang_counts_for_all_members) {
+  addServers(2);
+  submit(job("a", 2, 8, true));
+  const PlannedRound first = plan();
+  confirm(first);
+  Planner.expireLeases(first.Starts[0].Server, Now);
+  end(first.Starts[0], RunOutcome::Done);
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+  end(first.Starts[1], RunOutcome::Done);
+  BOOST_TEST(planAfter(Seconds(1)).Starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(done_of_a_released_run_does_not_complete_cancelled_work) {
+  addServers(1);
+  submit(job("a", 1, 1, false));
+  const PlannedRound first = plan();
+  Planner.expireLeases(first.Starts[0].Server, Now);
+  Planner.cancel(WorkId("a"), WallMs);
+  end(first.Starts[0], RunOutcome::Done);
+  BOOST_TEST((phase("a") == WorkPhase::Cancelled));
+}
+
 BOOST_AUTO_TEST_CASE(checkpoint_is_passed_to_the_next_run) {
   addServers(1);
   submit(job("a", 1, 1, false));
