Append after the end of the wait in the test of late answers

Cause: the store in memory may end a wait some milliseconds early, as its timers do, so the record could be appended before the time that the reader claims.

The record is now appended 20 ms after the answer and 40 ms before its arrival.

--- a/packages/store/src/topic_reader_test.cpp
+++ b/packages/store/src/topic_reader_test.cpp
@@ -196,15 +196,20 @@
   LateView late(Loop, Store, Millis(60));
   std::optional<MonoTime> appendedAt;
   bool seen = false;
+  Timer appendTimer;
   TopicReader reader(
       Loop, late, Topic,
       TopicReaderOptions{.Wait = Millis(40), .RetryDelay = Millis(5)},
       [&](const KeyedRecord &) { seen = true; }, [] {});
   late.OnAnswered = [&] {
-    if (!reader.currentAsOf() || appendedAt)
+    if (!reader.currentAsOf() || appendTimer.pending() || appendedAt)
       return;
-    appendedAt = monoNow();
-    Store.put(Topic, {"a", "1"});
+    // The store in memory may end a wait a few milliseconds early.
+    appendTimer = Loop.at(monoNow() + Millis(20), [&] {
+      appendTimer.cancel();
+      appendedAt = monoNow();
+      Store.put(Topic, {"a", "1"});
+    });
   };
   reader.start();
   for (int n = 0; n < 400 && !seen; ++n) {
