Show that a start for an ended life lets a task run twice

Orders name a server's id, which its next life may have too. Servers of the in-memory fleet can start anew under their id, with their clock, lists and numbers of ends anew.

--- a/packages/control/src/fake_fleet.cpp
+++ b/packages/control/src/fake_fleet.cpp
@@ -59,23 +59,36 @@
   return {};
 }
 
-ServerClockMs FakeFleet::clock() const {
-  return FirstClock +
+ServerClockMs FakeFleet::clock(const Server &of) const {
+  const MonoTime since = of.Restarted ? of.Restarted->At : StartedAt;
+  return (of.Restarted ? 0 : FirstClock) +
          static_cast<ServerClockMs>(
-             static_cast<double>((monoNow() - StartedAt).count()) * ClockRate);
+             static_cast<double>((monoNow() - since).count()) * ClockRate);
+}
+
+void FakeFleet::restart(const std::string &id, std::int64_t startedAtMs) {
+  Server &it = at(id);
+  Server next;
+  next.DelayStarts = it.DelayStarts;
+  next.DelayedStarts = std::move(it.DelayedStarts);
+  next.DelayPolls = it.DelayPolls;
+  next.DelayedPolls = std::move(it.DelayedPolls);
+  next.Started = std::move(it.Started);
+  next.Restarted = {startedAtMs, monoNow()};
+  it = std::move(next);
 }
 
 void FakeFleet::renewLease(Server &it, ServerClockMs until) {
   if (MaxLease)
     it.LeaseEnd =
-        std::max(it.LeaseEnd, std::min(until, clock() + MaxLease->count()));
+        std::max(it.LeaseEnd, std::min(until, clock(it) + MaxLease->count()));
 }
 
 void FakeFleet::expireLeases() {
   if (!MaxLease)
     return;
   for (auto &[id, it] : Servers) {
-    if (clock() < it.LeaseEnd)
+    if (clock(it) < it.LeaseEnd)
       continue;
     const std::map<TaskName, std::uint32_t> lapsed = it.Running;
     for (const auto &[task, run] : lapsed)
@@ -95,7 +108,7 @@
   if (it.EndedRuns.contains(order.Task) &&
       order.Run <= it.EndedRuns[order.Task])
     return OrderRefused{StartRefusal::StaleRun, "old"};
-  if (MaxLease && start.LeaseUntil <= clock())
+  if (MaxLease && start.LeaseUntil <= clock(it))
     return OrderRefused{StartRefusal::StaleRun, "late"};
   if (it.NoRoom)
     return OrderRefused{StartRefusal::NoRoom, "room"};
@@ -141,7 +154,7 @@
   if (refused)
     answer<OrderAcknowledged>(it, done, std::move(*refused), deadline);
   else
-    answer<OrderAcknowledged>(it, done, OrderAcknowledged{clock()}, deadline);
+    answer<OrderAcknowledged>(it, done, OrderAcknowledged{clock(it)}, deadline);
 }
 
 void FakeFleet::stop(const Endpoint &, const StopOrder &order, Epoch token,
@@ -158,7 +171,7 @@
     it.EndedRuns[order.Task] = order.Run;
     end(order.Server.Id.str(), order.Task, RunOutcome::Stopped);
   }
-  answer<OrderAcknowledged>(it, done, OrderAcknowledged{clock()}, deadline);
+  answer<OrderAcknowledged>(it, done, OrderAcknowledged{clock(it)}, deadline);
 }
 
 void FakeFleet::applyPoll(Server &it, const PollRequest &request, Epoch token) {
@@ -193,8 +206,10 @@
     return;
   }
   PollAnswer out;
-  out.Clock = clock();
-  out.StartedAtMs = ReportedStartMs.value_or(incarnation.StartedAtMs);
+  out.Clock = clock(it);
+  out.StartedAtMs = it.Restarted
+                        ? it.Restarted->StartedAtMs
+                        : ReportedStartMs.value_or(incarnation.StartedAtMs);
   if (!it.Silent) {
     applyPoll(it, request, token);
     for (const auto &[task, run] : it.Running)
--- a/packages/control/src/fake_fleet.h
+++ b/packages/control/src/fake_fleet.h
@@ -50,6 +50,12 @@
     bool NoRoom = false;
     /// On the server's clock; its runs lapse then.
     ServerClockMs LeaseEnd = 0;
+    /// Start of its latest life, if it was restarted.
+    struct Restart {
+      std::int64_t StartedAtMs = 0;
+      MonoTime At;
+    };
+    std::optional<Restart> Restarted;
   };
 
   /// Longest lease that servers grant, counted from the arrival of the request.
@@ -64,6 +70,9 @@
   /// Executes the delayed starts.
   void deliverDelayedStarts(const std::string &id);
   void deliverDelayedPolls(const std::string &id);
+  /// Starts the server anew under its id: it holds and knows nothing of before.
+  /// Delayed orders stay delayed.
+  void restart(const std::string &id, std::int64_t startedAtMs);
   /// Ends the runs whose lease has expired.
   void expireLeases();
   /// Number of executed starts on all servers.
@@ -90,7 +99,7 @@
   std::optional<FleetError> applyStart(Server &it, const DelayedStart &start);
   void applyPoll(Server &it, const PollRequest &request, Epoch token);
   void renewLease(Server &it, ServerClockMs until);
-  ServerClockMs clock() const;
+  ServerClockMs clock(const Server &of) const;
   template <typename T>
   void answer(const Server &from, FleetCallback<T> done, FleetResult<T> result,
               MonoTime deadline);
--- /dev/null
+++ b/packages/control/src/server_rebirth_test.cpp
@@ -0,0 +1,110 @@
+// Servers that start again under their id: a start that was sent to one life
+// may be carried out by the next, and the task must not run elsewhere
+// meanwhile.
+#include "entry_site.h"
+
+using namespace citrongap;
+using namespace citrongap::testing;
+
+namespace {
+
+/// Server "i-2" is free besides "i-1".
+struct RebirthSite : EntrySite {
+  RebirthSite() { Fleet.MaxLease = MaxLease; }
+
+  /// Runs the loop and returns the most runs that were in progress at once.
+  std::size_t mostRunsWithin(Millis span) {
+    std::size_t most = 0;
+    for (const MonoTime end = monoNow() + span; monoNow() < end;) {
+      runFor(Millis(2));
+      Fleet.expireLeases();
+      most = std::max(most, Fleet.running());
+    }
+    return most;
+  }
+  /// A start of the job was sent to "i-1", which delays it.
+  void sendDelayedStart() {
+    Fleet.at("i-1").DelayStarts = true;
+    BOOST_TEST(submit("vm-1") == "accepted");
+    for (int n = 0; n < 50 && Fleet.at("i-1").DelayedStarts.empty(); ++n)
+      runFor(Millis(2));
+    BOOST_REQUIRE(!Fleet.at("i-1").DelayedStarts.empty());
+    Store.put(Servers, {"i-2", "ready"});
+  }
+  /// "i-1" starts anew and registers.
+  void restart() {
+    Fleet.restart("i-1", 5);
+    Store.put(Servers, {"i-1", "ready 5"});
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(server_rebirth, RebirthSite)
+
+// Guards against a task that starts elsewhere before the server's next life
+// carries out the unanswered start that was sent to the life before.
+BOOST_AUTO_TEST_CASE(late_start_at_the_next_life_runs_beside_no_other) {
+  sendDelayedStart();
+  restart();
+  Fleet.at("i-1").DelayStarts = false;
+  runFor(Millis(100));
+  Fleet.deliverDelayedStarts("i-1");
+  BOOST_TEST(mostRunsWithin(Millis(300)) == 1U);
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
+// The same, with a start that the next life carries out and answers before the
+// owner has learned of it.
+BOOST_AUTO_TEST_CASE(start_answered_by_the_next_life_runs_beside_no_other) {
+  Store.put(Servers, {"i-2", "draining"});
+  runFor(Millis(60));
+  Fleet.restart("i-1", 5);
+  BOOST_TEST(submit("vm-1") == "accepted");
+  for (int n = 0; n < 50 && Fleet.started() == 0; ++n)
+    runFor(Millis(2));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Store.put(Servers, {"i-2", "ready"});
+  BOOST_TEST(mostRunsWithin(Millis(100)) == 1U);
+  Store.put(Servers, {"i-1", "ready 5"});
+  BOOST_TEST(mostRunsWithin(Millis(300)) == 1U);
+}
+
+// The same, with a retry that the life before had answered.
+BOOST_AUTO_TEST_CASE(late_first_attempt_of_a_listed_run_runs_beside_no_other) {
+  sendDelayedStart();
+  Fleet.at("i-1").DelayStarts = false;
+  runFor(Millis(120));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  restart();
+  runFor(Millis(100));
+  Fleet.deliverDelayedStarts("i-1");
+  BOOST_TEST(mostRunsWithin(Millis(300)) == 1U);
+}
+
+// The same, with a new owner that learns of the run from the store.
+BOOST_AUTO_TEST_CASE(new_owner_bars_the_late_start_at_the_next_life) {
+  sendDelayedStart();
+  kill("vm-1");
+  restart();
+  Fleet.at("i-1").Silent = true;
+  Fleet.at("i-1").DelayStarts = false;
+  runFor(Millis(500));
+  Fleet.deliverDelayedStarts("i-1");
+  Fleet.at("i-1").Silent = false;
+  BOOST_TEST(mostRunsWithin(Millis(300)) == 1U);
+}
+
+// A run that its server had listed ended with that life of the server.
+BOOST_AUTO_TEST_CASE(listed_run_starts_elsewhere_at_once) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Store.put(Servers, {"i-2", "ready"});
+  restart();
+  Fleet.at("i-1").Silent = true;
+  runFor(Millis(100));
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
