--- /dev/null
+++ b/packages/workload/src/pod_planner_reports.cpp
@@ -0,0 +1,128 @@
+// Reports of backend servers about runs.
+#include "citrongap/workload/pod_planner.h"
+
+namespace citrongap {
+
+void PodPlanner::recordStart(const TaskName &task, std::uint32_t run,
+                             const ServerIncarnation &server, MonoTime now) {
+  TaskRecord *record = findCurrentRun(task, run, server);
+  if (!record || record->Confirmed)
+    return;
+  record->Confirmed = true;
+  record->ProgressAt = now;
+}
+
+void PodPlanner::recordStartRefusal(const TaskName &task, std::uint32_t run,
+                                    const ServerIncarnation &server,
+                                    StartRefusal cause, MonoTime now) {
+  TaskRecord *record = findCurrentRun(task, run, server);
+  if (!record)
+    return;
+  if (cause == StartRefusal::Unhealthy)
+    Health.recordFailure(server.Id, now);
+  else
+    Health.abortProbe(server.Id);
+  if (ServerSlot *slot = Servers.find(server))
+    slot->NoStartsBefore = now + Options.RefusalRetryDelay;
+  release(task, *record, now);
+  if (specOf(task).Gang)
+    stopGang(task, "a member was not started");
+}
+
+void PodPlanner::abandonStart(const TaskName &task, std::uint32_t run,
+                              const ServerIncarnation &server) {
+  TaskRecord *record = findCurrentRun(task, run, server);
+  if (!record)
+    return;
+  if (specOf(task).Gang)
+    stopGang(task, "a member's start is uncertain");
+  else
+    requestStop(task, *record, "its start is uncertain");
+}
+
+void PodPlanner::recordProgress(const TaskName &task, std::uint32_t run,
+                                const ServerIncarnation &server, int percent,
+                                MonoTime now) {
+  TaskRecord *record = findCurrentRun(task, run, server);
+  if (!record)
+    return;
+  recordStart(task, run, server, now);
+  record->ListedAt = now;
+  if (percent == record->Percent) {
+    if (!record->StopRequested && isStalled(*record, specOf(task), now))
+      SweptAt = MonoTime();
+    return;
+  }
+  record->Percent = percent;
+  record->ProgressAt = now;
+  // A faulty server fails its runs sooner than this.
+  constexpr Millis WorksAfter{1000};
+  if (now - record->PlacedAt >= WorksAfter)
+    Health.recordProgress(server.Id, now);
+}
+
+void PodPlanner::recordRunEnd(const TaskName &task, std::uint32_t run,
+                              const ServerIncarnation &server,
+                              RunOutcome outcome, const std::string &checkpoint,
+                              MonoTime now, std::int64_t wallMs) {
+  TaskRecord *record = findCurrentRun(task, run, server);
+  if (!record) {
+    if (outcome == RunOutcome::Done && isReleasedRun(task, run, server))
+      recordDone(task, wallMs, now);
+    return;
+  }
+  const bool gang = specOf(task).Gang;
+  StepRecord &step = stepOf(task);
+  const Millis ran = now - record->PlacedAt;
+  release(task, *record, now);
+  if (!checkpoint.empty())
+    (gang ? step.Tasks.front() : *record).Checkpoint = checkpoint;
+  if (outcome == RunOutcome::Done) {
+    Health.recordSuccess(server.Id, now);
+    RunTimes.addSample({}, Works.at(task.Work).Spec.Queue.str(), ran.count());
+    recordDone(task, wallMs, now);
+    return;
+  }
+  if (outcome == RunOutcome::Failed) {
+    Health.recordFailure(server.Id, now, task.Work.str());
+    countFailure(task, run, wallMs);
+  } else {
+    Health.abortProbe(server.Id);
+  }
+  if (gang)
+    stopGang(task, "another member ended");
+}
+
+void PodPlanner::recordDone(const TaskName &task, std::int64_t wallMs,
+                            MonoTime now) {
+  PlannedWork &work = Works.at(task.Work);
+  if (work.Spec.LongRunning)
+    return;
+  Changed.insert(task.Work);
+  StepRecord &step = stepOf(task);
+  step.Tasks[task.Index].Stage = TaskStage::Done;
+  if (specOf(task).Gang)
+    // The other members of the gang end on their own; the first completion
+    // counts for all of them.
+    for (std::uint32_t n = 0; n < step.Tasks.size(); ++n) {
+      TaskRecord &it = step.Tasks[n];
+      if (it.Stage == TaskStage::Placed)
+        release({task.Work, task.Occurrence, task.Step, n}, it, now);
+      it.Stage = TaskStage::Done;
+    }
+  completeIfDone(task.Work, work, wallMs);
+}
+
+void PodPlanner::recordMissingRun(const TaskName &task, std::uint32_t run,
+                                  const ServerIncarnation &server,
+                                  MonoTime now) {
+  TaskRecord *record = findCurrentRun(task, run, server);
+  if (!record)
+    return;
+  release(task, *record, now);
+  Health.abortProbe(server.Id);
+  if (specOf(task).Gang)
+    stopGang(task, "a member is missing");
+}
+
+} // namespace citrongap
