--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -6,6 +6,7 @@
 #include "citrongap/store/memory_store.h"
 #include "fake_fleet.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <sstream>
@@ -209,6 +210,33 @@
   WorkId Job{"5c0e7a21d94b36f8"};
 };
 
+/// The same, with servers that grant leases.
+struct LeaseSite : EntrySite {
+  explicit LeaseSite(Millis maxLease = Millis(300)) : EntrySite(maxLease) {
+    Fleet.MaxLease = maxLease;
+  }
+
+  /// Runs the loop and returns the most runs that were in progress at once.
+  std::size_t mostRunsWithin(Millis span) {
+    std::size_t most = 0;
+    for (const MonoTime end = monoNow() + span; monoNow() < end;) {
+      runFor(Millis(2));
+      Fleet.expireLeases();
+      most = std::max(most, Fleet.running());
+    }
+    return most;
+  }
+  /// A start of the job was sent to "i-1", which delays it; "i-2" is free.
+  void sendDelayedStart() {
+    Fleet.at("i-1").DelayStarts = true;
+    BOOST_TEST(submit("vm-1") == "accepted");
+    for (int n = 0; n < 50 && Fleet.at("i-1").DelayedStarts.empty(); ++n)
+      runFor(Millis(2));
+    BOOST_REQUIRE(!Fleet.at("i-1").DelayedStarts.empty());
+    Store.put(Servers, {"i-2", "ready"});
+  }
+};
+
 } // namespace citrongap::testing
 
 #endif // CITRONGAP_CONTROL_ENTRY_SITE_H
--- a/packages/control/src/server_lease_test.cpp
+++ b/packages/control/src/server_lease_test.cpp
@@ -7,28 +7,6 @@
 
 namespace {
 
-struct LeaseSite : EntrySite {
-  explicit LeaseSite(Millis maxLease = Millis(300)) : EntrySite(maxLease) {
-    Fleet.MaxLease = maxLease;
-  }
-
-  /// Server "i-1" is cut off, "i-2" is free.
-  void cutOff() {
-    Fleet.at("i-1").Unreachable = true;
-    Store.put(Servers, {"i-2", "ready"});
-  }
-  /// Runs the loop and returns the most runs that were in progress at once.
-  std::size_t mostRunsWithin(Millis span) {
-    std::size_t most = 0;
-    for (const MonoTime end = monoNow() + span; monoNow() < end;) {
-      runFor(Millis(2));
-      Fleet.expireLeases();
-      most = std::max(most, Fleet.running());
-    }
-    return most;
-  }
-};
-
 struct LongLeaseSite : LeaseSite {
   LongLeaseSite() : LeaseSite(Millis(600)) {}
 };
@@ -48,8 +26,10 @@
   kill("vm-1");
   runFor(Millis(450));
   BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  BOOST_REQUIRE(!Fleet.at("i-1").DelayedPolls.empty());
   Fleet.deliverDelayedPolls("i-1");
-  cutOff();
+  Fleet.at("i-1").Unreachable = true;
+  Store.put(Servers, {"i-2", "ready"});
   BOOST_TEST(mostRunsWithin(Millis(900)) == 1U);
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
@@ -80,12 +60,8 @@
   Fleet.ClockRate = 0.98;
   // Ten seconds of the clock's deviation, 0.2 s, exceed the margins of a lease.
   runFor(Millis(10000));
-  Fleet.at("i-1").DelayStarts = true;
-  BOOST_TEST(submit("vm-1") == "accepted");
-  for (int n = 0; n < 50 && Fleet.at("i-1").DelayedStarts.empty(); ++n)
-    runFor(Millis(2));
-  BOOST_REQUIRE(!Fleet.at("i-1").DelayedStarts.empty());
-  cutOff();
+  sendDelayedStart();
+  Fleet.at("i-1").Unreachable = true;
   runFor(Millis(250));
   Fleet.deliverDelayedStarts("i-1");
   BOOST_TEST(mostRunsWithin(Millis(400)) == 1U);
--- a/packages/control/src/server_rebirth_test.cpp
+++ b/packages/control/src/server_rebirth_test.cpp
@@ -8,29 +8,7 @@
 
 namespace {
 
-/// Server "i-2" is free besides "i-1".
-struct RebirthSite : EntrySite {
-  RebirthSite() { Fleet.MaxLease = MaxLease; }
-
-  /// Runs the loop and returns the most runs that were in progress at once.
-  std::size_t mostRunsWithin(Millis span) {
-    std::size_t most = 0;
-    for (const MonoTime end = monoNow() + span; monoNow() < end;) {
-      runFor(Millis(2));
-      Fleet.expireLeases();
-      most = std::max(most, Fleet.running());
-    }
-    return most;
-  }
-  /// A start of the job was sent to "i-1", which delays it.
-  void sendDelayedStart() {
-    Fleet.at("i-1").DelayStarts = true;
-    BOOST_TEST(submit("vm-1") == "accepted");
-    for (int n = 0; n < 50 && Fleet.at("i-1").DelayedStarts.empty(); ++n)
-      runFor(Millis(2));
-    BOOST_REQUIRE(!Fleet.at("i-1").DelayedStarts.empty());
-    Store.put(Servers, {"i-2", "ready"});
-  }
+struct RebirthSite : LeaseSite {
   /// "i-1" starts anew and registers.
   void restart() {
     Fleet.restart("i-1", 5);
