Log each load of the jobs

Cause: nothing in the logs told when a VM had loaded the jobs, up to which offset, or which jobs it dropped then.

Change: part=store event=loaded with the number of keys, the ended jobs that were removed, and the offset at which reading in order goes on.

--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -47,7 +47,8 @@
   void applySpec(WorkSpec spec);
   /// After a load of the whole topic: removes ended jobs whose submission is
   /// not among its keys. Others may have been submitted during the load.
-  void removeEndedExcept(const std::set<std::string> &keys);
+  /// Returns the number of removed jobs.
+  std::size_t removeEndedExcept(const std::set<std::string> &keys);
 
   /// Only jobs whose submission is known.
   const RegistryEntry *find(const WorkId &id) const;
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -91,7 +91,10 @@
                             [this] { onOwnership(Election.isOwner()); });
   };
   JobsReader.OnLoaded = [this](const std::set<std::string> &keys) {
-    Registry.removeEndedExcept(keys);
+    const std::size_t removed = Registry.removeEndedExcept(keys);
+    Log("store", "loaded",
+        "topic=jobs keys={} ended_jobs_removed={} read_to={}", keys.size(),
+        removed, JobsReader.nextOffset().value());
   };
   ConfigurationReader.OnLoaded = [this](const std::set<std::string> &keys) {
     onConfigurationLoaded(keys);
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -69,8 +69,8 @@
     OnJobChange(id);
 }
 
-void WorkRegistry::removeEndedExcept(const std::set<std::string> &keys) {
-  std::erase_if(Entries, [&](const auto &it) {
+std::size_t WorkRegistry::removeEndedExcept(const std::set<std::string> &keys) {
+  return std::erase_if(Entries, [&](const auto &it) {
     return ended(it.second.Phase) && !keys.contains(specKey(it.first));
   });
 }
