Keep the end of a job whose submission a load has not seen

The page of the submissions may be from before a job was submitted, and the page of the states from after it had ended. Since the records of a key that a load was ahead of are not delivered again, but removeEndedExcept() still took an ended job whose submission was not among the loaded keys for one that the store had deleted. The submission followed in order, its state did not.

Ruled out: a late append of an older owner (a new epoch fences it; the state that vm-3 lacked had been read by the owner before it), and a take-over before the replay was complete (read_to is the end after the fence).

Why it works: submission and state are deleted in one append, so a state that a load has seen was not deleted before it.

--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -45,8 +45,10 @@
   void apply(const KeyedRecord &record);
   /// Adds a job whose submission this entry VM has stored.
   void applySpec(WorkSpec spec);
-  /// After a load of the whole topic: removes ended jobs whose submission is
-  /// not among its keys. Others may have been submitted during the load.
+  /// After a load of the whole topic: removes ended jobs of which neither the
+  /// submission nor the state is among its keys. The pages are not one
+  /// snapshot: of a job that was submitted during the load, only the state may
+  /// be among them, and its records are not delivered again.
   /// Returns the number of removed jobs.
   std::size_t removeEndedExcept(const std::set<std::string> &keys);
 
--- /dev/null
+++ b/packages/control/src/job_load_test.cpp
@@ -0,0 +1,55 @@
+// An entry VM that loads the jobs while they start and end knows each of them
+// as the store does.
+#include "entry_site.h"
+
+using namespace citrongap;
+using namespace citrongap::testing;
+
+namespace {
+
+const TopicId Jobs("keyed.jobs");
+
+/// The first page of the jobs is long on its way, so that later pages are newer
+/// than the end at which reading in order goes on.
+struct LoadSite : EntrySite {
+  static constexpr std::size_t PageBytes = 3000;
+  static constexpr std::size_t LinkBytesPerSecond = 6000;
+
+  LoadSite() {
+    // Between the keys of submissions and those of states.
+    for (const char *key : {"k1", "k2", "k3"})
+      Store.put(Jobs, {key, std::string(PageBytes / 3, 'x')});
+  }
+
+  void startLoad(const std::string &id) {
+    add(id);
+    Vms.at(id)->View.LinkBytesPerSecond = LinkBytesPerSecond;
+    runFor(Millis(40));
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(job_load, LoadSite)
+
+// Guards against a job that is submitted and ends during a load: its end was
+// dropped, and the next owner started it again.
+BOOST_AUTO_TEST_CASE(job_that_ended_during_a_load_is_not_started_again) {
+  startLoad("vm-3");
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.started() == 1U);
+  Fleet.end("i-1", Fleet.anyRun().second, RunOutcome::Done);
+  runFor(Millis(60));
+  BOOST_REQUIRE(state("vm-1") == "completed");
+  // Asks another entry VM, so the load has not ended.
+  BOOST_REQUIRE(Vms.at("vm-3")->View.bytesSent() < 2 * LoadSite::PageBytes);
+  runFor(Millis(600));
+  kill("vm-1");
+  kill("vm-2");
+  runFor(Millis(400));
+  BOOST_TEST(state("vm-3") == "completed");
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -71,7 +71,8 @@
 
 std::size_t WorkRegistry::removeEndedExcept(const std::set<std::string> &keys) {
   return std::erase_if(Entries, [&](const auto &it) {
-    return ended(it.second.Phase) && !keys.contains(specKey(it.first));
+    return ended(it.second.Phase) && !keys.contains(specKey(it.first)) &&
+           !keys.contains(stateKey(it.first));
   });
 }
 
