Do not take up a job again whose recorded end is not read yet

What callers saw (in a test): a job that was shown as completed is shown as cancelled afterwards.

Cause: the planner drops an ended job as soon as its end is being recorded. The registry shows the state that was read last. A cancellation that was stored before the end but is read after it made the owner load the job again in that earlier state, with runs placed that had ended, and cancel it.

Ruled out: the front. It had accepted the cancellation before the end, which is allowed; both answers of its own were true.

Why it works: until the end has been read, the owner remembers the ids of the jobs that it has ended and leaves them alone.

The test cancellation_that_is_read_late_does_not_reopen_a_job failed before: 'state("vm-1") == "completed" [cancelled != completed]', the same for vm-2.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -194,6 +194,10 @@
   std::set<ServerIncarnation> ReplacedByEarlier;
   std::map<ClientAccountId, std::int64_t> Guarantees;
   std::set<DataCentreId> Evacuated;
+  /// Jobs that have ended under this owner and were removed from the planner.
+  /// The registry may still show an earlier state, as the record of their end
+  /// has not been read yet.
+  std::set<WorkId> UnreadEnds;
   /// The jobs topic must be read up to here before the owner becomes active.
   std::optional<LogOffset> ReplayUpTo;
   /// Invariant: true only while `Planner` and `Appender` are set.
--- a/packages/control/src/job_load_test.cpp
+++ b/packages/control/src/job_load_test.cpp
@@ -52,4 +52,22 @@
   BOOST_TEST(Fleet.started() == 1U);
 }
 
+// Guards against an owner that reads a cancellation after it has recorded the
+// job's end: it took the job up again in the state that it had read before.
+BOOST_AUTO_TEST_CASE(cancellation_that_is_read_late_does_not_reopen_a_job) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.running() == 1U);
+  Vms.at("vm-1")->View.Faults.SilentTopics = {Jobs};
+  runFor(Millis(60));
+  BOOST_TEST(call("vm-2", CallerVerb::Cancel, Job) == "cancelled");
+  Fleet.end("i-1", Fleet.anyRun().second, RunOutcome::Done);
+  runFor(Millis(60));
+  BOOST_REQUIRE(state("vm-2") == "completed");
+  Vms.at("vm-1")->View.Faults.SilentTopics.clear();
+  runFor(Millis(150));
+  BOOST_TEST(state("vm-1") == "completed");
+  BOOST_TEST(state("vm-2") == "completed");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -82,6 +82,10 @@
 }
 
 void PodController::onJobsReadUpTo(LogOffset next) {
+  std::erase_if(UnreadEnds, [this](const WorkId &id) {
+    const RegistryEntry *entry = Registry.find(id);
+    return !entry || ended(entry->Phase);
+  });
   if (!Planner || Active || !ReplayUpTo || !JobsReader.loaded() ||
       next < *ReplayUpTo)
     return;
@@ -126,6 +130,7 @@
   EndedIncarnations.clear();
   ReplacedByEarlier.clear();
   LateLeaseEnds.clear();
+  UnreadEnds.clear();
   // Callbacks of the appender and the links may be on the stack.
   RoundTimer = Loop.at(monoNow(), [this] { runRound(); });
   if (Appender) {
@@ -153,7 +158,7 @@
 
 void PodController::loadJob(const WorkId &id) {
   const RegistryEntry *entry = Registry.find(id);
-  if (!entry)
+  if (!entry || UnreadEnds.contains(id))
     return;
   if (!Planner->find(id)) {
     WorkRecord record;
@@ -232,7 +237,8 @@
           id.str(), work.Spec.Account.str(),
           toMillis(wallNow()) - work.Spec.AcceptedAtMs);
   }
-  Planner->removeEndedWork();
+  for (const WorkId &id : Planner->removeEndedWork())
+    UnreadEnds.insert(id);
   if (records.empty()) {
     for (const auto &[incarnation, number] : received)
       Links.at(incarnation)->setRecordedUpTo(number);
