Do not start a task again of which an earlier run has ended as done

Cause: when the leases of an unreachable server have ended, its tasks are placed again. If the server comes back, its list may show that the released run had ended as done. With another run placed, or ended since, that end was recorded as read, acknowledged, and forgotten: the planner took ends of the current or the released run only. A stop of the later run for urgent work made the task wait and start once more.

Ruled out: two runs under one lease (the lease of the first had expired, so the second start itself is allowed).

Change: an end as done of an earlier run counts. A task that waits is done at once. A later run that is placed is stopped, and the task is done once it has ended in whatever way; the record of the task keeps this for a next owner (TaskRecord::EarlierRunDone, a bit that earlier builds ignore).

Why it works: a task leaves the stage Placed through release() only, which now leads to Done.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -238,6 +238,9 @@
   bool isReleasedRun(const TaskName &task, std::uint32_t run,
                      const ServerIncarnation &server) const;
   void recordDone(const TaskName &task, std::int64_t wallMs, MonoTime now);
+  /// A run before the task's last one has ended as done. A placed run is
+  /// stopped, and the task is done once that has ended.
+  void recordEarlierDone(const TaskName &task, std::int64_t wallMs);
   TaskRecord *findCurrentRun(const TaskName &task, std::uint32_t run,
                              const ServerIncarnation &server);
   const TaskRecord *findTask(const TaskName &task) const;
@@ -251,7 +254,12 @@
   void finish(const WorkId &id, PlannedWork &work, WorkPhase phase,
               std::int64_t wallMs);
   void stopAll(const WorkId &id, PlannedWork &work, const char *reason);
+  /// Stops the placed runs of tasks of which an earlier run has ended as done.
+  void stopRunsOfDoneTasks(const WorkId &id, PlannedWork &work);
   void completeIfDone(const WorkId &id, PlannedWork &work, std::int64_t wallMs);
+  /// Completes jobs whose last task was released after an earlier run had ended
+  /// as done.
+  void completeChangedWork(std::int64_t wallMs);
   void stopGang(const TaskName &member, const char *reason);
 
   // One round: pod_planner_round.cpp; preemption and reservations are in
--- a/packages/workload/include/citrongap/workload/work_state.h
+++ b/packages/workload/include/citrongap/workload/work_state.h
@@ -49,6 +49,9 @@
   ServerIncarnation Server;
   /// Latest checkpoint; empty for none.
   std::string Checkpoint;
+  /// An earlier run has ended as done while `Run` was placed. Invariant: the
+  /// stage is not Waiting, and a stop of a placed run is requested.
+  bool EarlierRunDone = false;
 
   // Not serialized.
   /// The server accepted the start or listed the run.
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -5,6 +5,22 @@
 
 namespace citrongap {
 
+namespace {
+
+/// Calls `visit` with the name and the record of each task.
+template <typename Visit>
+void forEachTask(const WorkId &id, PlannedWork &work, const Visit &visit) {
+  auto &occurrences = work.Record.Occurrences;
+  for (std::uint32_t k = 0; k < occurrences.size(); ++k)
+    for (std::uint32_t s = 0; s < occurrences[k].Steps.size(); ++s) {
+      auto &tasks = occurrences[k].Steps[s].Tasks;
+      for (std::uint32_t n = 0; n < tasks.size(); ++n)
+        visit(TaskName{id, k, s, n}, tasks[n]);
+    }
+}
+
+} // namespace
+
 const char *describe(RunOutcome outcome) {
   switch (outcome) {
   case RunOutcome::Done:
@@ -128,6 +144,8 @@
   }
   if (ended(work.Record.Phase))
     stopAll(spec.Id, work, "the job has ended");
+  else
+    stopRunsOfDoneTasks(spec.Id, work);
 }
 
 void PodPlanner::cancel(const WorkId &id, std::int64_t wallMs) {
@@ -243,7 +261,7 @@
       slot->Stopping -= allocation;
   }
   Placed[record.Server].erase(task);
-  record.Stage = TaskStage::Waiting;
+  record.Stage = record.EarlierRunDone ? TaskStage::Done : TaskStage::Waiting;
   record.Confirmed = false;
   record.StopRequested = false;
   record.WaitingSince = now;
@@ -269,13 +287,16 @@
 
 void PodPlanner::stopAll(const WorkId &id, PlannedWork &work,
                          const char *reason) {
-  auto &occurrences = work.Record.Occurrences;
-  for (std::uint32_t k = 0; k < occurrences.size(); ++k)
-    for (std::uint32_t s = 0; s < occurrences[k].Steps.size(); ++s) {
-      auto &tasks = occurrences[k].Steps[s].Tasks;
-      for (std::uint32_t n = 0; n < tasks.size(); ++n)
-        requestStop({id, k, s, n}, tasks[n], reason);
-    }
+  forEachTask(id, work, [&](const TaskName &task, TaskRecord &record) {
+    requestStop(task, record, reason);
+  });
+}
+
+void PodPlanner::stopRunsOfDoneTasks(const WorkId &id, PlannedWork &work) {
+  forEachTask(id, work, [&](const TaskName &task, TaskRecord &record) {
+    if (record.EarlierRunDone)
+      requestStop(task, record, "an earlier run has ended as done");
+  });
 }
 
 void PodPlanner::countFailure(const TaskName &task, std::uint32_t run,
@@ -315,4 +336,10 @@
   finish(id, work, WorkPhase::Completed, wallMs);
 }
 
+void PodPlanner::completeChangedWork(std::int64_t wallMs) {
+  for (const WorkId &it : Changed)
+    if (const auto work = Works.find(it); work != Works.end())
+      completeIfDone(it, work->second, wallMs);
+}
+
 } // namespace citrongap
--- a/packages/workload/src/pod_planner_reports.cpp
+++ b/packages/workload/src/pod_planner_reports.cpp
@@ -69,6 +69,8 @@
   if (!record) {
     if (outcome == RunOutcome::Done && isReleasedRun(task, run, server))
       recordDone(task, wallMs, now);
+    else if (outcome == RunOutcome::Done && wasReplaced(task, run))
+      recordEarlierDone(task, wallMs);
     return;
   }
   const bool gang = specOf(task).Gang;
@@ -85,7 +87,8 @@
   }
   if (outcome == RunOutcome::Failed) {
     Health.recordFailure(server.Id, now, task.Work.str());
-    countFailure(task, run, wallMs);
+    if (!record->EarlierRunDone)
+      countFailure(task, run, wallMs);
   } else {
     Health.abortProbe(server.Id);
   }
@@ -113,6 +116,26 @@
   completeIfDone(task.Work, work, wallMs);
 }
 
+void PodPlanner::recordEarlierDone(const TaskName &task, std::int64_t wallMs) {
+  PlannedWork &work = Works.at(task.Work);
+  if (work.Spec.LongRunning)
+    return;
+  Changed.insert(task.Work);
+  StepRecord &step = stepOf(task);
+  const bool gang = specOf(task).Gang;
+  for (std::uint32_t n = 0; n < step.Tasks.size(); ++n) {
+    TaskRecord &it = step.Tasks[n];
+    if ((!gang && n != task.Index) || it.Stage == TaskStage::Done)
+      continue;
+    if (it.Stage == TaskStage::Placed)
+      it.EarlierRunDone = true;
+    else
+      it.Stage = TaskStage::Done;
+  }
+  stopRunsOfDoneTasks(task.Work, work);
+  completeIfDone(task.Work, work, wallMs);
+}
+
 void PodPlanner::recordMissingRun(const TaskName &task, std::uint32_t run,
                                   const ServerIncarnation &server,
                                   MonoTime now) {
--- a/packages/workload/src/work_codec.cpp
+++ b/packages/workload/src/work_codec.cpp
@@ -63,6 +63,10 @@
 
 /// Flag in the first byte of a task, beside its stage: more fields follow.
 constexpr std::uint64_t HasHistory = 4;
+/// Another one: TaskRecord::EarlierRunDone.
+constexpr std::uint64_t HasEarlierRunDone = 8;
+/// The bits of the stage in that byte.
+constexpr std::uint64_t StageMask = 3;
 
 void writeTask(const TaskRecord &task, IncarnationTable &incarnations,
                ByteWriter &out) {
@@ -71,7 +75,8 @@
     out.writeVarint(stage);
     return;
   }
-  out.writeVarint(stage | HasHistory);
+  out.writeVarint(stage | HasHistory |
+                  (task.EarlierRunDone ? HasEarlierRunDone : 0));
   out.writeVarint(task.Run);
   out.writeVarint(task.Failures);
   out.writeVarint(incarnations.indexOf(task.Server));
@@ -81,10 +86,11 @@
 bool readTask(ByteReader &in, const IncarnationTable &incarnations,
               TaskRecord &task) {
   const std::uint64_t head = in.readVarint();
-  const std::uint64_t stage = head & (HasHistory - 1);
+  const std::uint64_t stage = head & StageMask;
   if (stage > static_cast<std::uint64_t>(TaskStage::Done))
     return false;
   task.Stage = static_cast<TaskStage>(stage);
+  task.EarlierRunDone = (head & HasEarlierRunDone) != 0;
   if ((head & HasHistory) == 0)
     return in.good() && task.Stage != TaskStage::Placed;
   task.Run = static_cast<std::uint32_t>(in.readVarint());
