Take up what the log owes as soon as the log names the owner

Cause: PodOwner looks every 5 s for jobs that the log owes, first at the tick after its recovery. Before the log names the owner that look sees nothing, but it counted. Here the servers were ready 9 ms after the take-over and the log named the owner after 505 ms (its take-over lost to one of the other entry VM, which had taken the pod over in the same moment and let it go 2 ms later).

Test: daemon_test, new; on the old code "critical check site.until([&] { return site.Servers.releases(job.Id) == 1; }) has failed" after 4 s.

--- a/packages/daemon/include/citrongap/daemon/claim_port.h
+++ b/packages/daemon/include/citrongap/daemon/claim_port.h
@@ -80,8 +80,9 @@
   virtual std::optional<Outcome> outcomeOf(const JobId &job) const = 0;
   /// The log names the job, so that it may be owed an outcome.
   virtual bool names(const JobRequest &job) const = 0;
-  /// Accepted jobs without an outcome; none before the log was read to the
-  /// take-over of the pod.
+  /// The log was read to the take-over of the pod and names this entry VM.
+  virtual bool holds() const = 0;
+  /// Accepted jobs without an outcome; none unless it holds the pod.
   virtual std::vector<JobRequest> owed() const = 0;
 };
 
--- a/packages/daemon/include/citrongap/daemon/ledger_claims.h
+++ b/packages/daemon/include/citrongap/daemon/ledger_claims.h
@@ -29,6 +29,7 @@
              std::function<void(Recorded)> callback) override;
   std::optional<Outcome> outcomeOf(const JobId &job) const override;
   bool names(const JobRequest &job) const override;
+  bool holds() const override { return Held.has_value(); }
   std::vector<JobRequest> owed() const override;
 
 private:
--- a/packages/daemon/src/pod_owner.cpp
+++ b/packages/daemon/src/pod_owner.cpp
@@ -286,7 +286,7 @@
   for (GangRun *it : runs)
     it->onTick(now);
   recordEndsAgain(now);
-  if (!Recovering && now >= NextOwedCheck) {
+  if (!Recovering && Claims.holds() && now >= NextOwedCheck) {
     NextOwedCheck = now + OwedInterval;
     takeOwedJobs();
   }
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -60,11 +60,16 @@
     return std::nullopt;
   }
   bool names(const JobRequest &) const override { return false; }
-  std::vector<JobRequest> owed() const override { return Owed; }
+  bool holds() const override { return Holds; }
+  std::vector<JobRequest> owed() const override {
+    return Holds ? Owed : std::vector<JobRequest>();
+  }
 
   ClaimAnswer Next = ClaimGranted{"claim", wallNow() + Seconds(10)};
   Recorded Log = Recorded::Yes;
   unsigned Releases = 0;
+  /// The log names the owner.
+  bool Holds = true;
   std::vector<JobRequest> Owed;
   /// The log is silent: records of ends get no answer for now.
   bool HoldEnds = false;
@@ -403,6 +408,21 @@
   BOOST_REQUIRE(site.until([&] { return site.Servers.releases(job.Id) == 1; }));
 }
 
+// The owner looked once before the log named it, and again only 5 s later.
+BOOST_AUTO_TEST_CASE(
+    a_job_that_the_log_owes_is_taken_up_as_soon_as_the_log_names_the_owner) {
+  Fixture site;
+  const auto job = Fixture::job("k", 1);
+  site.Claims.Holds = false;
+  site.Claims.Owed = {job};
+  BOOST_REQUIRE(site.until([&] { return !site.Owner->recovering(); }));
+  site.Loop.runUntil(monoNow() + Millis(500));
+  site.Claims.Holds = true;
+  const MonoTime named = monoNow();
+  BOOST_REQUIRE(site.until([&] { return site.Servers.releases(job.Id) == 1; }));
+  BOOST_CHECK(monoNow() - named < Seconds(1));
+}
+
 BOOST_AUTO_TEST_CASE(a_late_state_from_before_the_release_stops_nothing) {
   Fixture site;
   site.Servers.setRun(Millis(400));
