Look for owed jobs right after a second take-over, too

Callers: an entry VM that lets a pod go and takes it over again within 5 s (two that start together do that) left the jobs that only the log knows unstarted for the rest of the 5 s.

Cause: the time of the next look outlived the ownership.

Test: daemon_test, new; on the old code "critical check site.until([&] { return site.Servers.releases(job.Id) == 1; }) has failed" after 4 s. Found by reading; not seen in a scenario.

--- a/packages/daemon/include/citrongap/daemon/pod_owner.h
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -204,6 +204,7 @@
   bool Active = false;
   bool Recovering = false;
   MonoTime RecoverUntil;
+  /// Of this ownership; passed already until its first look.
   MonoTime NextOwedCheck;
   Timer DecideTimer;
   Timer Ticker;
--- a/packages/daemon/src/pod_owner.cpp
+++ b/packages/daemon/src/pod_owner.cpp
@@ -42,6 +42,7 @@
   Active = true;
   Recovering = true;
   RecoverUntil = monoNow() + Terms.LeaseTerm + RecoverySlack;
+  NextOwedCheck = {};
   Claims.takeOver(Pod);
   Scheduler = std::make_unique<PodScheduler>(Pod, DataCentre);
   Scheduler->configure(Lists, monoNow());
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -423,6 +423,22 @@
   BOOST_CHECK(monoNow() - named < Seconds(1));
 }
 
+// The look of the ownership before counted, and the next one came 5 s later.
+BOOST_AUTO_TEST_CASE(
+    a_job_that_the_log_owes_is_taken_up_soon_after_a_second_take_over) {
+  Fixture site;
+  const auto job = Fixture::job("k", 1);
+  BOOST_REQUIRE(site.until([&] { return !site.Owner->recovering(); }));
+  site.Loop.runUntil(monoNow() + Millis(500));
+  site.Owner->deactivate();
+  site.Claims.Owed = {job};
+  site.Owner->activate({});
+  BOOST_REQUIRE(site.until([&] { return !site.Owner->recovering(); }));
+  const MonoTime taken = monoNow();
+  BOOST_REQUIRE(site.until([&] { return site.Servers.releases(job.Id) == 1; }));
+  BOOST_CHECK(monoNow() - taken < Seconds(1));
+}
+
 BOOST_AUTO_TEST_CASE(a_late_state_from_before_the_release_stops_nothing) {
   Fixture site;
   site.Servers.setRun(Millis(400));
