Take a pod over again at once when another take-over was first

Callers: after two entry VMs had taken a pod over in the same moment, the one that keeps it could not start unrepeatable jobs for another 0.5 s, nor take up the jobs that only the log knows.

It is now tried again as soon as the lost one is read. That can't go on for long: a writer that has read its own lost record uses a higher term than all before it, and the one that wins stops. A take-over without an answer still waits 500 ms. No rule of the ledger changes.

Test: daemon_test, new; on the old code "check Claims.holds() has failed".

--- a/packages/daemon/src/ledger_claims.cpp
+++ b/packages/daemon/src/ledger_claims.cpp
@@ -66,8 +66,10 @@
                   Pod.str(), Held->Term.value());
           return;
         }
-        Retry =
-            Loop.at(monoNow() + TakeOverAgainAfter, [this] { askForPod(); });
+        // The next term is higher than that of the take-over it lost to.
+        const bool lost = std::holds_alternative<PodLost>(result);
+        const Millis pause = lost ? Millis(0) : TakeOverAgainAfter;
+        Retry = Loop.at(monoNow() + pause, [this] { askForPod(); });
       });
 }
 
--- a/packages/daemon/src/ledger_claims_test.cpp
+++ b/packages/daemon/src/ledger_claims_test.cpp
@@ -148,3 +148,17 @@
   Loop.runUntil(monoNow() + Millis(3000));
   BOOST_TEST(deferred);
 }
+
+// Two take-overs of one moment have the same term; the later one in the log was
+// tried again only half a second later.
+BOOST_FIXTURE_TEST_CASE(
+    take_over_that_lost_to_one_of_the_same_moment_is_tried_again_at_once,
+    Fixture) {
+  LedgerClaims rival(Loop, Log, EntryVmId("vm-2"));
+  rival.start();
+  Loop.runUntil(monoNow() + Millis(100));
+  rival.takeOver(PodId("dc-2"));
+  Claims.takeOver(PodId("dc-2"));
+  Loop.runUntil(monoNow() + Millis(200));
+  BOOST_TEST(Claims.holds());
+}
