Let a new entry VM read a second list before it takes a pod over

Callers: when all entry VMs of a data centre start at the same time, two of them took the pod over within milliseconds; the wrong one let it go at once, having written its take-over and, before, got the servers' leases. The right one then waited for the log, or 1.5 s for the leases.

Cause: a new entry VM waited 1000 ms from its first VM list, and reads the list each 1000 ms. The first list does not show what started with it, and the second one came just before or just after the end of the wait.

It now also waits for the end of the peers' discovery (1500 ms from the start), which until now only decided whether it waits at all. The wait moves from Node to a class that can be tested. Cost: a data centre without any entry VM is without an owner for 0.4 to 0.5 s longer.

Test: daemon_test, new; the class with the old rule: "check !wait.over(Start + ListInterval + 2 * ListAnswer) has failed".

--- a/packages/daemon/include/citrongap/daemon/node.h
+++ b/packages/daemon/include/citrongap/daemon/node.h
@@ -8,13 +8,13 @@
 #include "citrongap/daemon/metrics.h"
 #include "citrongap/daemon/peer_directory.h"
 #include "citrongap/daemon/settings.h"
+#include "citrongap/daemon/take_over_wait.h"
 #include "citrongap/ledger/configuration_follower.h"
 #include "citrongap/peer/swim_membership.h"
 #include "citrongap/peer/tcp_peer_link.h"
 #include "citrongap/platform/http_ports.h"
 
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace citrongap {
@@ -75,10 +75,7 @@
   bool Leaving = false;
   bool VmListKnown = false;
   MonoTime DrainUntil;
-  /// Until then a planned hand-over of the pod may still arrive.
-  std::optional<MonoTime> AwaitHandOverUntil;
-  std::optional<EntryVmId> LastOwner;
-  MonoTime KnowsPeersAt;
+  TakeOverWait Wait;
   bool FetchInFlight = false;
   Timer VmTimer;
   Timer OwnershipTimer;
--- a/packages/daemon/src/node.cpp
+++ b/packages/daemon/src/node.cpp
@@ -15,9 +15,6 @@
 constexpr Millis VmListPatience{2000};
 constexpr Millis OwnershipInterval{200};
 constexpr Millis ReportInterval{1000};
-constexpr Millis HandOverPatience{1000};
-/// Probes of a new entry VM are answered within it.
-constexpr Millis PeerDiscovery{1500};
 constexpr Seconds DrainLimit{8};
 /// Open requests get their answer for so long before they are told to ask
 /// again.
@@ -84,7 +81,7 @@
   });
   Follower.start();
   Claims.start();
-  KnowsPeersAt = monoNow() + PeerDiscovery;
+  Wait.start(monoNow());
   fetchVmList();
   VmTimer = Loop.every(VmListInterval, [this] { fetchVmList(); });
   OwnershipTimer = Loop.every(OwnershipInterval, [this] { checkOwnership(); });
@@ -151,21 +148,17 @@
   const auto owner = ownerAmong(Owner.pod(), Members.members());
   const bool mine = owner && owner->Id == Config.Self;
   if (!mine) {
-    AwaitHandOverUntil.reset();
     if (owner)
-      LastOwner = owner->Id;
+      Wait.onOtherOwner();
+    else
+      Wait.onNoOwner();
     if (Owner.active())
       handOverPod();
     return;
   }
   if (Owner.active())
     return;
-  // A living last owner hands the pod over; a dead one never does. Right after
-  // the start it is not known yet who lives.
-  const bool mayCome = LastOwner || monoNow() < KnowsPeersAt;
-  if (!AwaitHandOverUntil)
-    AwaitHandOverUntil = monoNow() + (mayCome ? HandOverPatience : Millis(0));
-  if (monoNow() >= *AwaitHandOverUntil) {
+  if (Wait.over(monoNow())) {
     Owner.activate({});
     Front.onOwnersChanged();
     Broker.onOwnersChanged();
@@ -209,7 +202,8 @@
     return;
   LogLine("handing pod {} over to {}", message.Pod.str(), successor->Id.str());
   Link.request(successor->Id, encodeRequest(message),
-               monoNow() + HandOverPatience, [](const PeerResult &) {});
+               monoNow() + TakeOverWait::HandOverPatience,
+               [](const PeerResult &) {});
 }
 
 void Node::reportPod() {
