Take no run as missing by an incomplete list of run ends

A server returns at most 500 run ends in one answer. A run whose end came after them stood in neither list, so the owner took it as missing and started its task again, although it had ended as done: two starts of a task that must run once.

Cause: ServerLink::reportMissingRuns read the list of ends as complete. The next answers follow once the ends are recorded and acknowledged, so the run is settled by its own end or by the first list below the limit.

Ruled out: a start that is sent again meanwhile. The server refuses a run that has ended there, and the owner then stops it and waits for its end.

--- a/packages/control/include/citrongap/control/fleet_port.h
+++ b/packages/control/include/citrongap/control/fleet_port.h
@@ -43,7 +43,11 @@
   /// Start time of the incarnation that answered, in wall-clock milliseconds.
   std::optional<std::int64_t> StartedAtMs;
   std::vector<ListedRun> Running;
+  /// In ascending order of the numbers.
   std::vector<RunEndReport> Ended;
+  /// The server may hold later run ends that are not among `Ended`. A run in
+  /// neither list may then have ended.
+  bool MoreEnds = false;
 };
 
 /// The server accepted the order, now or on an earlier attempt.
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -174,6 +174,8 @@
   void stopObsoleteRuns();
   void applyRunning(const ListedRun &run, MonoTime now);
   void applyRunEnd(const RunEndReport &end, MonoTime now);
+  /// Runs in neither list have not been carried out, unless the list of ends
+  /// is incomplete.
   void reportMissingRuns(MonoTime sentAt, const PollAnswer &answer,
                          MonoTime now);
   void onPollFailed(const FleetError &error);
--- a/packages/control/src/fake_fleet.cpp
+++ b/packages/control/src/fake_fleet.cpp
@@ -213,6 +213,8 @@
     for (const auto &[task, run] : it.Running)
       out.Running.push_back({task, run, "", 1});
     out.Ended = it.Ended;
+    out.MoreEnds = out.Ended.size() >= MaxListedEnds;
+    out.Ended.resize(std::min(out.Ended.size(), MaxListedEnds));
   }
   answer<PollAnswer>(it, done, std::move(out), deadline);
 }
--- a/packages/control/src/fake_fleet.h
+++ b/packages/control/src/fake_fleet.h
@@ -63,6 +63,8 @@
   std::optional<Millis> MaxLease;
   /// Polls are answered after this delay instead of their requested wait.
   Millis PollDelay{10};
+  /// Most run ends that one answer lists.
+  std::size_t MaxListedEnds = 500;
   /// Rate of the servers' clocks.
   double ClockRate = 1.0;
 
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -200,6 +200,8 @@
 
 void ServerLink::reportMissingRuns(MonoTime sentAt, const PollAnswer &answer,
                                    MonoTime now) {
+  if (answer.MoreEnds)
+    return;
   std::set<TaskName> running;
   for (const ListedRun &it : answer.Running)
     running.insert(it.Task);
