Keep an unanswered start when an earlier run of its task is listed

Two answers of a server may be on their way at once, and the later one may overtake the earlier. An answer that still listed run 1 after run 2 had been placed on the same server made the owner stop run 1, and ServerLink kept one run a task: run 1 took the place of run 2. The start of run 2 was not sent again, no lease was asked for, and the task waited for good (an unconfirmed run does not count as stalled). If the server started anew then, run 2 was not among the starts that its next life might carry out: the task started elsewhere and ran twice once the late start arrived.

ServerLink now tracks runs by task and number, so that one run of a task can be stopped while another is started. Whether a run is missing is still decided by task: none counts as missing while any run of the task is listed.

The servers of the tests ended whatever run a stop was sent for; they end the named one now.

Before the fix: server_answers/start_is_sent_again_although_an_earlier_run_is_listed: check Fleet.at("i-1").Running[Task] == 2U has failed [0 != 2] server_answers/late_start_after_an_earlier_run_is_listed_runs_alone: check mostRunsWithin(Millis(300)) == 1U has failed [2 != 1]

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -104,8 +104,8 @@
   /// whose start `next` may carry out move there.
   void replaceServer(const ServerIncarnation &ended,
                      const ServerIncarnation &next, const char *reason);
-  void moveRuns(const std::vector<std::pair<TaskName, std::uint32_t>> &runs,
-                const ServerIncarnation &from, const ServerIncarnation &to);
+  void moveRuns(const std::vector<RunId> &runs, const ServerIncarnation &from,
+                const ServerIncarnation &to);
   /// Calls for an earlier incarnation of the server, which `next` may carry out
   /// late, begin leases there.
   void expectLateCalls(const ServerIncarnation &next);
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -20,6 +20,9 @@
 
 namespace citrongap {
 
+/// A run: a task and the number of its start.
+using RunId = std::pair<TaskName, std::uint32_t>;
+
 struct LinkOptions {
   /// Longest lease that a server grants; the platform's bound.
   Millis MaxLease{6000};
@@ -107,7 +110,7 @@
   void stop(const StopOrder &order);
   /// Runs whose start may be or may have been carried out by the server's next
   /// incarnation: orders name the server's id only.
-  std::vector<std::pair<TaskName, std::uint32_t>> unsettledStarts() const;
+  std::vector<RunId> unsettledStarts() const;
   /// Leases that this link did not request may last until `end`.
   void extendLeaseEnd(MonoTime end) {
     LatestLeaseEnd = std::max(LatestLeaseEnd, end);
@@ -152,12 +155,10 @@
     }
   };
 
-  void sendStart(const TaskName &task);
-  void sendStop(const TaskName &task);
-  void onStart(const TaskName &task, std::uint32_t run,
-               FleetResult<OrderAcknowledged> result);
-  void onStop(const TaskName &task, std::uint32_t run,
-              FleetResult<OrderAcknowledged> result);
+  void sendStart(const RunId &run);
+  void sendStop(const RunId &run);
+  void onStart(const RunId &id, FleetResult<OrderAcknowledged> result);
+  void onStop(const RunId &id, FleetResult<OrderAcknowledged> result);
   void poll();
   /// Requests the lists with a short poll while a long poll is in flight.
   void requestLists();
@@ -168,9 +169,9 @@
   void sendUnconfirmedStarts();
   /// Returns the runs whose start was never sent to the planner.
   void returnUnsentStarts();
-  void returnUnsentStart(const TaskName &task, std::uint32_t run);
+  void returnUnsentStart(const RunId &run);
   /// Gives up a start without an answer; returns one that was never sent.
-  void withdrawStart(const TaskName &task, const TrackedRun &tracked);
+  void withdrawStart(const RunId &run, const TrackedRun &tracked);
   void stopObsoleteRuns();
   void applyRunning(const ListedRun &run, MonoTime now);
   void applyRunEnd(const RunEndReport &end, MonoTime now);
@@ -197,8 +198,9 @@
   Epoch Token;
   LinkOptions Options;
   Events Notify;
-  /// Invariant: one entry for each task that is placed on the server.
-  std::map<TaskName, TrackedRun> TrackedRuns;
+  /// Invariant: an entry for each run that is placed on the server, and for
+  /// each that is being stopped there. A task may have one of each.
+  std::map<RunId, TrackedRun> TrackedRuns;
   bool Active = true;
   bool LongPollInFlight = false;
   int ListRequestsInFlight = 0;
--- a/packages/control/src/fake_fleet.cpp
+++ b/packages/control/src/fake_fleet.cpp
@@ -166,8 +166,11 @@
   }
   if (!it.Silent) {
     it.Token = token;
-    it.EndedRuns[order.Task] = order.Run;
-    end(order.Server.Id.str(), order.Task, RunOutcome::Stopped);
+    std::uint32_t &latest = it.EndedRuns[order.Task];
+    latest = std::max(latest, order.Run);
+    const auto run = it.Running.find(order.Task);
+    if (run != it.Running.end() && run->second == order.Run)
+      end(order.Server.Id.str(), order.Task, RunOutcome::Stopped);
   }
   answer<OrderAcknowledged>(it, done, OrderAcknowledged{clock(it)}, deadline);
 }
@@ -212,6 +215,8 @@
     applyPoll(it, request, token);
     for (const auto &[task, run] : it.Running)
       out.Running.push_back({task, run, "", 1});
+    out.Running.insert(out.Running.end(), it.AlsoListed.begin(),
+                       it.AlsoListed.end());
     out.Ended = it.Ended;
     out.MoreEnds = out.Ended.size() >= MaxListedEnds;
     out.Ended.resize(std::min(out.Ended.size(), MaxListedEnds));
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -216,9 +216,9 @@
   dropServer(ended, reason);
 }
 
-void PodController::moveRuns(
-    const std::vector<std::pair<TaskName, std::uint32_t>> &runs,
-    const ServerIncarnation &from, const ServerIncarnation &to) {
+void PodController::moveRuns(const std::vector<RunId> &runs,
+                             const ServerIncarnation &from,
+                             const ServerIncarnation &to) {
   if (runs.empty())
     return;
   const MonoTime now = monoNow();
@@ -244,7 +244,7 @@
   if (listed == ListedServers.end() || listed->second.Incarnation == from ||
       (monoNow() >= lastStart && !LateLeaseEnds.contains(from)))
     return false;
-  std::vector<std::pair<TaskName, std::uint32_t>> runs;
+  std::vector<RunId> runs;
   for (const StartOrder &it : Planner->runsPlacedOn(from))
     runs.emplace_back(it.Task, it.Run);
   moveRuns(runs, from, ServerIncarnation(listed->second.Incarnation));
--- a/packages/control/src/server_answers_test.cpp
+++ b/packages/control/src/server_answers_test.cpp
@@ -16,6 +16,28 @@
     runFor(Millis(60));
     BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
   }
+  /// Run 1 has ended on "i-1"; the start of run 2 was sent there and has no
+  /// answer.
+  void sendSecondRun() {
+    startJob();
+    Fleet.at("i-1").DelayStarts = true;
+    Fleet.end("i-1", Task, RunOutcome::Stopped);
+    for (int n = 0; n < 100 && Fleet.at("i-1").DelayedStarts.empty(); ++n)
+      runFor(Millis(2));
+    BOOST_REQUIRE(!Fleet.at("i-1").DelayedStarts.empty());
+    BOOST_REQUIRE(Fleet.at("i-1").DelayedStarts.front().Order.Run == 2U);
+  }
+  /// Answers list run 1 for a while.
+  void listFirstRun() {
+    Fleet.at("i-1").AlsoListed = {{Task, 1, "", 1}};
+    runFor(Millis(30));
+    Fleet.at("i-1").AlsoListed.clear();
+  }
+  /// "i-1" starts anew and registers.
+  void restart() {
+    Fleet.restart("i-1", 5);
+    Store.put(Servers, {"i-1", "ready 5"});
+  }
 };
 
 } // namespace
@@ -38,4 +60,26 @@
   BOOST_TEST(state("vm-1") == "completed");
 }
 
+// A late answer that still listed an earlier run made the owner forget the
+// unanswered start of the current one, which was not sent again.
+BOOST_AUTO_TEST_CASE(start_is_sent_again_although_an_earlier_run_is_listed) {
+  sendSecondRun();
+  listFirstRun();
+  Fleet.at("i-1").DelayStarts = false;
+  runFor(Millis(150));
+  BOOST_TEST(Fleet.at("i-1").Running[Task] == 2U);
+}
+
+// The same, and the next life of the server carried the forgotten start out
+// beside the run that had replaced it.
+BOOST_AUTO_TEST_CASE(late_start_after_an_earlier_run_is_listed_runs_alone) {
+  sendSecondRun();
+  listFirstRun();
+  Store.put(Servers, {"i-2", "ready"});
+  restart();
+  runFor(Millis(100));
+  Fleet.deliverDelayedStarts("i-1");
+  BOOST_TEST(mostRunsWithin(Millis(300)) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -37,34 +37,35 @@
       Options(options), Notify(std::move(events)),
       LatestLeaseEnd(inheritedLeaseEnd) {
   for (StartOrder &it : Planner.runsPlacedOn(Incarnation)) {
-    const TaskName task = it.Task;
-    TrackedRuns[task].Order = std::move(it);
-    TrackedRuns[task].StartUncertain = true;
-    TrackedRuns[task].LateStartUntil = monoNow() + Options.MaxOrderDelay;
+    TrackedRun &tracked = TrackedRuns[{it.Task, it.Run}];
+    tracked.Order = std::move(it);
+    tracked.StartUncertain = true;
+    tracked.LateStartUntil = monoNow() + Options.MaxOrderDelay;
   }
 }
 
-std::vector<std::pair<TaskName, std::uint32_t>>
-ServerLink::unsettledStarts() const {
-  std::vector<std::pair<TaskName, std::uint32_t>> out;
-  for (const auto &[task, it] : TrackedRuns)
+std::vector<RunId> ServerLink::unsettledStarts() const {
+  std::vector<RunId> out;
+  for (const auto &[run, it] : TrackedRuns)
     if (it.StartInFlight || (it.StartConfirmedAt && !it.Listed) ||
         monoNow() < it.LateStartUntil)
-      out.emplace_back(task, it.Order.Run);
+      out.push_back(run);
   return out;
 }
 
 void ServerLink::start(const StartOrder &order) {
-  TrackedRuns[order.Task] = TrackedRun{};
-  TrackedRuns[order.Task].Order = order;
-  sendStart(order.Task);
+  const RunId run{order.Task, order.Run};
+  TrackedRuns[run] = TrackedRun{};
+  TrackedRuns[run].Order = order;
+  sendStart(run);
   pollIfNeeded();
 }
 
 void ServerLink::stop(const StopOrder &order) {
-  TrackedRun &it = TrackedRuns[order.Task];
-  if (it.Order.Run != order.Run) {
-    it = TrackedRun{};
+  const RunId run{order.Task, order.Run};
+  const auto [found, added] = TrackedRuns.try_emplace(run);
+  TrackedRun &it = found->second;
+  if (added) {
     it.Order = {order.Task, order.Run, Incarnation, "", "", 0, Millis(0), true};
     it.StartUncertain = true;
     it.LateStartUntil = monoNow() + Options.MaxOrderDelay;
@@ -72,15 +73,12 @@
   it.StopRequested = true;
   it.StopReason = order.Reason;
   if (it.startNeverSent()) {
-    it.RetryTimer.cancel();
-    const TaskName task = order.Task;
-    const std::uint32_t run = order.Run;
-    TrackedRuns.erase(task);
-    Planner.recordMissingRun(task, run, Incarnation, monoNow());
+    TrackedRuns.erase(found);
+    Planner.recordMissingRun(run.first, run.second, Incarnation, monoNow());
     Notify.Changed();
     return;
   }
-  sendStop(order.Task);
+  sendStop(run);
   pollIfNeeded();
 }
 
@@ -110,18 +108,18 @@
     LastClock = {clock, now};
 }
 
-void ServerLink::sendStart(const TaskName &task) {
-  const auto found = TrackedRuns.find(task);
+void ServerLink::sendStart(const RunId &run) {
+  const auto found = TrackedRuns.find(run);
   if (found == TrackedRuns.end() || IncarnationEnded || !Active)
     return;
   TrackedRun &it = found->second;
   if (it.StartInFlight || it.StartConfirmedAt || it.StopRequested ||
-      !Planner.isCurrentRun(task, it.Order.Run, Incarnation))
+      !Planner.isCurrentRun(run.first, run.second, Incarnation))
     return;
   const MonoTime now = monoNow();
   const StartPermission permission = Notify.MayStart(Incarnation);
   if (permission == StartPermission::Leaving) {
-    withdrawStart(task, it);
+    withdrawStart(run, it);
     return;
   }
   // Each start requests a lease. Retries to an unreachable server would
@@ -129,7 +127,7 @@
   if (FailedPolls >= Options.MaxFailedPolls || !Notify.MayAct() ||
       permission == StartPermission::ListStale) {
     it.RetryTimer =
-        Loop.at(now + Options.RetryDelay, [this, task] { sendStart(task); });
+        Loop.at(now + Options.RetryDelay, [this, run] { sendStart(run); });
     return;
   }
   const auto until = leaseUntil(now);
@@ -143,31 +141,28 @@
   it.StartInFlight = true;
   LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
   Fleet.start(Address, it.Order, *until, Token, now + Options.AnswerTimeout,
-              [this, task, run = it.Order.Run,
-               alive = std::weak_ptr<int>(Alive)](auto result) {
+              [this, run, alive = std::weak_ptr<int>(Alive)](auto result) {
                 if (alive.lock())
-                  onStart(task, run, std::move(result));
+                  onStart(run, std::move(result));
               });
 }
 
-void ServerLink::withdrawStart(const TaskName &task,
-                               const TrackedRun &tracked) {
-  const std::uint32_t run = tracked.Order.Run;
+void ServerLink::withdrawStart(const RunId &run, const TrackedRun &tracked) {
   if (tracked.startNeverSent()) {
-    returnUnsentStart(task, run);
+    returnUnsentStart(run);
   } else {
-    Log("order", "start_abandoned", "task={} run={} server={}", task.str(), run,
-        Incarnation.Id.str());
-    Planner.abandonStart(task, run, Incarnation);
+    Log("order", "start_abandoned", "task={} run={} server={}", run.first.str(),
+        run.second, Incarnation.Id.str());
+    Planner.abandonStart(run.first, run.second, Incarnation);
   }
   Notify.Changed();
 }
 
-void ServerLink::onStart(const TaskName &task, std::uint32_t run,
+void ServerLink::onStart(const RunId &id,
                          FleetResult<OrderAcknowledged> result) {
-  const auto found = TrackedRuns.find(task);
-  const bool known =
-      found != TrackedRuns.end() && found->second.Order.Run == run;
+  const auto &[task, run] = id;
+  const auto found = TrackedRuns.find(id);
+  const bool known = found != TrackedRuns.end();
   if (known)
     found->second.StartInFlight = false;
   const MonoTime now = monoNow();
@@ -212,36 +207,36 @@
       found->second.LateStartUntil = now + Options.MaxOrderDelay;
     }
     found->second.RetryTimer =
-        Loop.at(now + Options.RetryDelay, [this, task] { sendStart(task); });
+        Loop.at(now + Options.RetryDelay, [this, id] { sendStart(id); });
   }
 }
 
-void ServerLink::sendStop(const TaskName &task) {
-  const auto found = TrackedRuns.find(task);
+void ServerLink::sendStop(const RunId &run) {
+  const auto found = TrackedRuns.find(run);
   if (found == TrackedRuns.end() || IncarnationEnded || !Active)
     return;
   TrackedRun &it = found->second;
   if (it.StopInFlight || it.StopConfirmedAt)
     return;
   if (!Notify.MayAct()) {
-    it.RetryTimer = Loop.at(monoNow() + Options.RetryDelay,
-                            [this, task] { sendStop(task); });
+    it.RetryTimer =
+        Loop.at(monoNow() + Options.RetryDelay, [this, run] { sendStop(run); });
     return;
   }
   it.StopInFlight = true;
-  Fleet.stop(Address, {task, it.Order.Run, Incarnation, it.StopReason}, Token,
-             monoNow() + Options.AnswerTimeout,
-             [this, task, run = it.Order.Run,
-              alive = std::weak_ptr<int>(Alive)](auto result) {
+  Fleet.stop(Address, {run.first, run.second, Incarnation, it.StopReason},
+             Token, monoNow() + Options.AnswerTimeout,
+             [this, run, alive = std::weak_ptr<int>(Alive)](auto result) {
                if (alive.lock())
-                 onStop(task, run, std::move(result));
+                 onStop(run, std::move(result));
              });
 }
 
-void ServerLink::onStop(const TaskName &task, std::uint32_t run,
+void ServerLink::onStop(const RunId &id,
                         FleetResult<OrderAcknowledged> result) {
-  const auto found = TrackedRuns.find(task);
-  if (found == TrackedRuns.end() || found->second.Order.Run != run)
+  const auto &[task, run] = id;
+  const auto found = TrackedRuns.find(id);
+  if (found == TrackedRuns.end())
     return;
   TrackedRun &it = found->second;
   it.StopInFlight = false;
@@ -269,7 +264,7 @@
     return;
   }
   it.RetryTimer =
-      Loop.at(now + Options.RetryDelay, [this, task] { sendStop(task); });
+      Loop.at(now + Options.RetryDelay, [this, id] { sendStop(id); });
 }
 
 bool ServerLink::needsPoll() const {
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -132,29 +132,31 @@
 }
 
 void ServerLink::sendUnconfirmedStarts() {
-  std::vector<TaskName> unconfirmed;
-  for (const auto &[task, it] : TrackedRuns)
+  std::vector<RunId> unconfirmed;
+  for (const auto &[run, it] : TrackedRuns)
     if (!it.StartConfirmedAt && !it.StartInFlight && !it.RetryTimer.pending())
-      unconfirmed.push_back(task);
-  for (const TaskName &it : unconfirmed)
+      unconfirmed.push_back(run);
+  for (const RunId &it : unconfirmed)
     sendStart(it);
 }
 
 void ServerLink::returnUnsentStarts() {
-  std::vector<std::pair<TaskName, std::uint32_t>> unsent;
-  for (const auto &[task, it] : TrackedRuns)
+  std::vector<RunId> unsent;
+  for (const auto &[run, it] : TrackedRuns)
     if (it.startNeverSent())
-      unsent.emplace_back(task, it.Order.Run);
-  for (const auto &[task, run] : unsent)
-    returnUnsentStart(task, run);
+      unsent.push_back(run);
+  for (const RunId &it : unsent)
+    returnUnsentStart(it);
   if (!unsent.empty())
     Notify.Changed();
 }
 
-void ServerLink::returnUnsentStart(const TaskName &task, std::uint32_t run) {
+void ServerLink::returnUnsentStart(const RunId &id) {
+  // A copy: `id` may be the key of the entry.
+  const auto [task, run] = id;
   Log("order", "start_returned", "task={} run={} server={}", task.str(), run,
       Incarnation.Id.str());
-  TrackedRuns.erase(task);
+  TrackedRuns.erase({task, run});
   Planner.recordStartRefusal(task, run, Incarnation, StartRefusal::NoRoom,
                              monoNow());
 }
@@ -162,10 +164,10 @@
 void ServerLink::stopObsoleteRuns() {
   // Covers stops that were decided before this link existed.
   std::vector<StopOrder> obsolete;
-  for (const auto &[task, it] : TrackedRuns)
+  for (const auto &[run, it] : TrackedRuns)
     if (!it.StopRequested &&
-        !Planner.isCurrentRun(task, it.Order.Run, Incarnation))
-      obsolete.push_back({task, it.Order.Run, Incarnation,
+        !Planner.isCurrentRun(run.first, run.second, Incarnation))
+      obsolete.push_back({run.first, run.second, Incarnation,
                           "the run is no longer placed here"});
   for (const StopOrder &it : obsolete)
     stop(it);
@@ -173,8 +175,8 @@
 
 void ServerLink::applyRunning(const ListedRun &run, MonoTime now) {
   Planner.recordProgress(run.Task, run.Run, Incarnation, run.Percent, now);
-  const auto found = TrackedRuns.find(run.Task);
-  if (found != TrackedRuns.end() && found->second.Order.Run == run.Run) {
+  const auto found = TrackedRuns.find({run.Task, run.Run});
+  if (found != TrackedRuns.end()) {
     found->second.Listed = true;
     if (!found->second.StartConfirmedAt)
       found->second.StartConfirmedAt = now;
@@ -186,9 +188,7 @@
 
 void ServerLink::applyRunEnd(const RunEndReport &end, MonoTime now) {
   ReceivedUpTo = end.Number;
-  const auto found = TrackedRuns.find(end.Task);
-  if (found != TrackedRuns.end() && found->second.Order.Run == end.Run)
-    TrackedRuns.erase(found);
+  TrackedRuns.erase({end.Task, end.Run});
   const bool replaced = Planner.wasReplaced(end.Task, end.Run);
   Log("run", "ended", "task={} run={} server={} how={} number={} replaced={}",
       end.Task.str(), end.Run, Incarnation.Id.str(), describe(end.Outcome),
@@ -205,19 +205,19 @@
   std::set<TaskName> running;
   for (const ListedRun &it : answer.Running)
     running.insert(it.Task);
-  std::vector<std::pair<TaskName, std::uint32_t>> missing;
-  for (const auto &[task, it] : TrackedRuns) {
+  std::vector<RunId> missing;
+  for (const auto &[run, it] : TrackedRuns) {
     const bool startedBefore =
         it.StartConfirmedAt && *it.StartConfirmedAt < sentAt;
     const bool stoppedBefore =
         it.StopConfirmedAt && *it.StopConfirmedAt < sentAt;
-    if (!running.contains(task) && (startedBefore || stoppedBefore))
-      missing.emplace_back(task, it.Order.Run);
+    if (!running.contains(run.first) && (startedBefore || stoppedBefore))
+      missing.push_back(run);
   }
   for (const auto &[task, run] : missing) {
     Log("run", "missing", "task={} run={} server={}", task.str(), run,
         Incarnation.Id.str());
-    TrackedRuns.erase(task);
+    TrackedRuns.erase({task, run});
     Planner.recordMissingRun(task, run, Incarnation, now);
   }
   if (!missing.empty())
