Have the next life of a server refuse late starts of ended runs too

A call names a server by its id only, and one without an answer may be carried out 12 s later, by the server's next life. That life knows nothing of before, so it carries out an attempt to start a run that has ended since. If the run had ended as done, its task ran again; if its lease had ended, it ran beside the run that had replaced it.

Cause: the link remembered an attempt without an answer only as long as it tracked the run, so the next life was told to stop only runs that were still placed. The link now remembers these attempts by themselves, until none can be carried out. When it is dropped, the link to the server's next incarnation has each of them stopped there first, after which the server refuses them.

A late start that arrives before this stop is still carried out; the run is then listed and stopped. A new owner does not know the attempts of runs that ended under the owner before.

Before the fix: server_rebirth/late_start_of_an_ended_run_is_refused_by_the_next_life: check Fleet.started() == 1U has failed [2 != 1] server_rebirth/late_start_of_a_lapsed_run_runs_beside_no_other: check mostRunsWithin(Millis(100)) == 1U has failed [2 != 1]

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -99,6 +99,8 @@
   /// It is known to have ended, or one that started later is listed.
   bool hasEnded(const ServerIncarnation &incarnation) const;
   void addLink(const ServerEntry &entry);
+  /// Has the server refuse starts that were sent to an earlier incarnation.
+  void barLateStarts(const ServerIncarnation &incarnation, ServerLink &link);
   void dropServer(const ServerIncarnation &incarnation, const char *reason);
   /// Drops `ended`, which the server's incarnation `next` has followed. Runs
   /// whose start `next` may carry out move there.
@@ -160,6 +162,12 @@
   std::unique_ptr<PodPlanner> Planner;
   std::unique_ptr<BatchAppender> Appender;
   std::map<ServerIncarnation, std::unique_ptr<ServerLink>> Links;
+  /// Runs whose start the next incarnation of a server may carry out.
+  struct LateStarts {
+    MonoTime Until;
+    std::vector<RunId> Runs;
+  };
+  std::map<BackendServerId, LateStarts> StartsOfDroppedLinks;
   /// Links whose callbacks may be on the stack; destroyed in the next round.
   std::vector<std::unique_ptr<ServerLink>> RetiredLinks;
   /// Parts of the previous ownership, kept for the same reason.
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -109,7 +109,7 @@
   /// was never sent is reported as missing at once.
   void stop(const StopOrder &order);
   /// Runs whose start may be or may have been carried out by the server's next
-  /// incarnation: orders name the server's id only.
+  /// incarnation: orders name the server's id only. Some may have ended.
   std::vector<RunId> unsettledStarts() const;
   /// Leases that this link did not request may last until `end`.
   void extendLeaseEnd(MonoTime end) {
@@ -135,8 +135,6 @@
     /// have been or may still be carried out, even if a later attempt is
     /// refused.
     bool StartUncertain = false;
-    /// Until then, an attempt without an answer may be carried out.
-    MonoTime LateStartUntil;
     /// This incarnation has listed the run.
     bool Listed = false;
     /// Attempts that failed before they were sent.
@@ -201,6 +199,9 @@
   /// Invariant: an entry for each run that is placed on the server, and for
   /// each that is being stopped there. A task may have one of each.
   std::map<RunId, TrackedRun> TrackedRuns;
+  /// Until when an attempt to start the run may be carried out late, if one has
+  /// no answer. The run may have ended.
+  std::map<RunId, MonoTime> LateStarts;
   bool Active = true;
   bool LongPollInFlight = false;
   int ListRequestsInFlight = 0;
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -130,6 +130,7 @@
   EndedIncarnations.clear();
   ReplacedByEarlier.clear();
   LateLeaseEnds.clear();
+  StartsOfDroppedLinks.clear();
   UnreadEnds.clear();
   // Callbacks of the appender and the links may be on the stack.
   RoundTimer = Loop.at(monoNow(), [this] { runRound(); });
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -168,9 +168,25 @@
       inheritedLeaseEnd(entry.Incarnation), linkEvents());
   ServerLink &added = *link;
   Links.emplace(entry.Incarnation, std::move(link));
+  barLateStarts(entry.Incarnation, added);
   added.pollIfNeeded();
 }
 
+void PodController::barLateStarts(const ServerIncarnation &incarnation,
+                                  ServerLink &link) {
+  const auto found = StartsOfDroppedLinks.find(incarnation.Id);
+  if (found == StartsOfDroppedLinks.end())
+    return;
+  const LateStarts late = std::move(found->second);
+  StartsOfDroppedLinks.erase(found);
+  if (monoNow() >= late.Until)
+    return;
+  Log("servers", "late_starts_barred", "server={} born={} runs={}",
+      incarnation.Id.str(), incarnation.StartedAtMs, late.Runs.size());
+  for (const auto &[task, run] : late.Runs)
+    link.stop({task, run, incarnation, "its server has restarted"});
+}
+
 ServerLink::Events PodController::linkEvents() {
   ServerLink::Events events;
   events.MayAct = [this] { return !MayAct || MayAct(); };
@@ -260,6 +276,12 @@
       Planner ? Planner->runsPlacedOn(incarnation).size() : 0, reason);
   const auto link = Links.find(incarnation);
   if (link != Links.end()) {
+    std::vector<RunId> late = link->second->unsettledStarts();
+    if (!late.empty())
+      StartsOfDroppedLinks.insert_or_assign(
+          incarnation.Id, LateStarts{monoNow() + Options.Link.AnswerTimeout +
+                                         Options.Link.MaxOrderDelay,
+                                     std::move(late)});
     link->second->setActive(false);
     RetiredLinks.push_back(std::move(link->second));
     Links.erase(link);
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -26,6 +26,11 @@
       error);
 }
 
+bool isOutcomeUnknown(const FleetResult<OrderAcknowledged> &result) {
+  const auto *error = std::get_if<FleetError>(&result);
+  return error && std::holds_alternative<OrderOutcomeUnknown>(*error);
+}
+
 } // namespace
 
 ServerLink::ServerLink(EventLoop &loop, FleetPort &fleet, PodPlanner &planner,
@@ -37,20 +42,23 @@
       Options(options), Notify(std::move(events)),
       LatestLeaseEnd(inheritedLeaseEnd) {
   for (StartOrder &it : Planner.runsPlacedOn(Incarnation)) {
+    LateStarts[{it.Task, it.Run}] = monoNow() + Options.MaxOrderDelay;
     TrackedRun &tracked = TrackedRuns[{it.Task, it.Run}];
     tracked.Order = std::move(it);
     tracked.StartUncertain = true;
-    tracked.LateStartUntil = monoNow() + Options.MaxOrderDelay;
   }
 }
 
 std::vector<RunId> ServerLink::unsettledStarts() const {
-  std::vector<RunId> out;
+  const MonoTime now = monoNow();
+  std::set<RunId> out;
+  for (const auto &[run, until] : LateStarts)
+    if (now < until)
+      out.insert(run);
   for (const auto &[run, it] : TrackedRuns)
-    if (it.StartInFlight || (it.StartConfirmedAt && !it.Listed) ||
-        monoNow() < it.LateStartUntil)
-      out.push_back(run);
-  return out;
+    if (it.StartConfirmedAt && !it.Listed)
+      out.insert(run);
+  return {out.begin(), out.end()};
 }
 
 void ServerLink::start(const StartOrder &order) {
@@ -68,7 +76,7 @@
   if (added) {
     it.Order = {order.Task, order.Run, Incarnation, "", "", 0, Millis(0), true};
     it.StartUncertain = true;
-    it.LateStartUntil = monoNow() + Options.MaxOrderDelay;
+    LateStarts[run] = monoNow() + Options.MaxOrderDelay;
   }
   it.StopRequested = true;
   it.StopReason = order.Reason;
@@ -139,6 +147,8 @@
     return;
   }
   it.StartInFlight = true;
+  std::erase_if(LateStarts, [&](const auto &n) { return n.second <= now; });
+  LateStarts[run] = now + Options.AnswerTimeout + Options.MaxOrderDelay;
   LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
   Fleet.start(Address, it.Order, *until, Token, now + Options.AnswerTimeout,
               [this, run, alive = std::weak_ptr<int>(Alive)](auto result) {
@@ -165,6 +175,8 @@
   const bool known = found != TrackedRuns.end();
   if (known)
     found->second.StartInFlight = false;
+  if (known && !found->second.StartUncertain && !isOutcomeUnknown(result))
+    LateStarts.erase(id);
   const MonoTime now = monoNow();
   if (const auto *done = std::get_if<OrderAcknowledged>(&result)) {
     readClock(done->Clock);
@@ -202,10 +214,8 @@
                                now);
     Notify.Changed();
   } else if (known) {
-    if (!std::holds_alternative<OrderNotSent>(error)) {
+    if (!std::holds_alternative<OrderNotSent>(error))
       found->second.StartUncertain = true;
-      found->second.LateStartUntil = now + Options.MaxOrderDelay;
-    }
     found->second.RetryTimer =
         Loop.at(now + Options.RetryDelay, [this, id] { sendStart(id); });
   }
--- a/packages/control/src/server_rebirth_test.cpp
+++ b/packages/control/src/server_rebirth_test.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 struct RebirthSite : LeaseSite {
+  using LeaseSite::LeaseSite;
   /// "i-1" starts anew and registers.
   void restart() {
     Fleet.restart("i-1", 5);
@@ -16,6 +17,10 @@
   }
 };
 
+struct ShortLeaseRebirth : RebirthSite {
+  ShortLeaseRebirth() : RebirthSite(Millis(100)) {}
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(server_rebirth, RebirthSite)
@@ -117,4 +122,35 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+// Guards against an unanswered attempt to start a run that has ended as done
+// since: the next life carried it out.
+BOOST_AUTO_TEST_CASE(late_start_of_an_ended_run_is_refused_by_the_next_life) {
+  sendDelayedStart();
+  Fleet.at("i-1").DelayStarts = false;
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Fleet.end("i-1", {Job, 0, 0, 0}, RunOutcome::Done);
+  runFor(Millis(60));
+  BOOST_TEST(state("vm-1") == "completed");
+  restart();
+  runFor(Millis(60));
+  Fleet.deliverDelayedStarts("i-1");
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
+// The same, with a run whose lease had ended before the server started anew.
+BOOST_FIXTURE_TEST_CASE(late_start_of_a_lapsed_run_runs_beside_no_other,
+                        ShortLeaseRebirth) {
+  sendDelayedStart();
+  Fleet.at("i-1").Unreachable = true;
+  for (int n = 0; n < 150 && Fleet.started() == 0; ++n)
+    runFor(Millis(2));
+  BOOST_REQUIRE(Fleet.at("i-2").Running.size() == 1U);
+  restart();
+  Fleet.at("i-1").DelayStarts = false;
+  runFor(Millis(60));
+  Fleet.deliverDelayedStarts("i-1");
+  BOOST_TEST(mostRunsWithin(Millis(100)) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
