Acknowledge run ends only until the server has confirmed it

Each poll carried the highest recorded number, for as long as the server lived. A poll without an answer may be carried out 12 s later, by the server's next life, whose numbers begin at 1 again: it forgot ends there that the owner had not received. Their runs stood in neither list, counted as missing, and their tasks started again although they had ended as done.

A poll now acknowledges ends only while no answered poll has done so, and carries 0 otherwise. What remains: a poll that was the first to acknowledge some ends, has no answer, and is carried out by the next life between the end of a run there and its receipt.

Before the fix: server_rebirth/late_acknowledgement_at_the_next_life_loses_no_end: check Fleet.started() == 3U has failed [4 != 3] check state("vm-1") == "completed" has failed [running != completed]

--- a/packages/control/include/citrongap/control/fleet_port.h
+++ b/packages/control/include/citrongap/control/fleet_port.h
@@ -84,7 +84,7 @@
   /// New lease end of all runs on the server; no lease is renewed when absent.
   std::optional<ServerClockMs> LeaseUntil;
   /// The owner has recorded the run ends up to this number; the server may
-  /// discard them.
+  /// discard them. 0 acknowledges none.
   std::uint64_t AcknowledgedUpTo = 0;
   /// The server answers after this time at the latest, or when a run ends.
   Millis Wait{0};
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -13,7 +13,6 @@
   LongPollInFlight = true;
   const MonoTime now = monoNow();
   PollRequest request;
-  request.AcknowledgedUpTo = RecordedUpTo;
   // After a failed poll no lease is renewed: the leases of a server that may be
   // unreachable shall end soon.
   if (FailedPolls == 0 && !TrackedRuns.empty()) {
@@ -31,16 +30,18 @@
       !Notify.MayAct())
     return;
   ++ListRequestsInFlight;
-  PollRequest request;
-  request.AcknowledgedUpTo = RecordedUpTo;
-  sendPoll(request, false);
+  sendPoll({}, false);
 }
 
 void ServerLink::sendPoll(PollRequest request, bool isLongPoll) {
   const MonoTime now = monoNow();
+  // A poll that the server's next incarnation carries out late acknowledges
+  // ends there, whose numbers begin anew.
+  if (ConfirmedUpTo < RecordedUpTo)
+    request.AcknowledgedUpTo = RecordedUpTo;
   Fleet.poll(Address, Incarnation, request, Token,
              now + request.Wait + Options.AnswerTimeout,
-             [this, now, isLongPoll, acknowledged = RecordedUpTo,
+             [this, now, isLongPoll, acknowledged = request.AcknowledgedUpTo,
               alive = std::weak_ptr<int>(Alive)](auto result) {
                if (!alive.lock())
                  return;
--- a/packages/control/src/server_rebirth_test.cpp
+++ b/packages/control/src/server_rebirth_test.cpp
@@ -153,4 +153,29 @@
   BOOST_TEST(mostRunsWithin(Millis(100)) == 1U);
 }
 
+// Guards against a late poll for the life before whose acknowledgement makes
+// the next life forget an end that the owner has not received: its task started
+// again.
+BOOST_AUTO_TEST_CASE(late_acknowledgement_at_the_next_life_loses_no_end) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  Fleet.end("i-1", {Job, 0, 0, 0}, RunOutcome::Done);
+  runFor(Millis(100));
+  Job = WorkId("6c0e7a21d94b36f8");
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  Fleet.at("i-1").DelayPolls = true;
+  runFor(Millis(30));
+  BOOST_REQUIRE(!Fleet.at("i-1").DelayedPolls.empty());
+  restart();
+  Fleet.at("i-1").DelayPolls = false;
+  runFor(Millis(100));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Fleet.end("i-1", {Job, 0, 0, 0}, RunOutcome::Done);
+  Fleet.deliverDelayedPolls("i-1");
+  runFor(Millis(200));
+  BOOST_TEST(Fleet.started() == 3U);
+  BOOST_TEST(state("vm-1") == "completed");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
