--- a/packages/control/src/fake_fleet.h
+++ b/packages/control/src/fake_fleet.h
@@ -44,6 +44,8 @@
     /// Polls get no answer and are queued for deliverDelayedPolls().
     bool DelayPolls = false;
     std::vector<std::pair<PollRequest, Epoch>> DelayedPolls;
+    /// Listed as running beside `Running`, as by an answer that was overtaken.
+    std::vector<ListedRun> AlsoListed;
     /// Connections are refused.
     bool Unreachable = false;
     /// Starts are refused for lack of capacity.
@@ -63,6 +65,8 @@
   std::optional<Millis> MaxLease;
   /// Polls are answered after this delay instead of their requested wait.
   Millis PollDelay{10};
+  /// Most run ends that one answer lists.
+  std::size_t MaxListedEnds = 500;
   /// Rate of the servers' clocks.
   double ClockRate = 1.0;
 
