Forget jobs that were deleted while an entry VM was cut off

What callers would see: a job that was shown as completed starts again. An entry VM that the store did not serve for longer than it keeps records (300 s) shows a job that ended and was deleted meanwhile as running, for good; as the next owner it starts the job's tasks again.

Cause: after a load, only ended jobs that were not among its keys were removed. The others were kept since they may have been submitted during the load. Nothing told them from jobs that were running when the VM was cut off.

Evidence: found by reading, shown by the test below. Ruled out for loads at the start of a VM: the replica is empty then.

Why it works: a job that the load has not found and that was submitted during it follows in order. So the others can go once all that the store had at the end of the load was read. Until then they stay visible, so that a job that was accepted through this VM is not denied, but an owner does not plan them.

--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -92,6 +93,8 @@
   void loadPeers();
   /// Starts the load of the jobs, or schedules it on a standby; once.
   void loadJobs();
+  /// After each answer to a read of the jobs in order.
+  void onJobsRead();
   void onConfiguration(const KeyedRecord &record);
   void onEvacuation(const DataCentreId &dataCentre, bool requested);
   /// Evacuations that were taken back while nobody read are not among the keys.
@@ -108,6 +111,9 @@
   Timer LoadPeersTimer;
   Timer LoadJobsTimer;
   bool LoadingJobs = false;
+  /// End of the latest load of the jobs, until all that the store had then was
+  /// read.
+  std::optional<MonoTime> JobsLoadedAt;
   Timer TakeOverTimer;
   EntryNodeSettings Settings;
   SiteParsers Parsers;
--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -35,6 +35,9 @@
   bool CancelRequested = false;
   /// Newest record of its state as stored; empty before the first.
   std::string State;
+  /// The latest load has not found it: it was deleted, or its submission
+  /// follows in order.
+  bool Unfound = false;
 };
 
 class WorkRegistry {
@@ -48,9 +51,13 @@
   /// After a load of the whole topic: removes ended jobs of which neither the
   /// submission nor the state is among its keys. The pages are not one
   /// snapshot: of a job that was submitted during the load, only the state may
-  /// be among them, and its records are not delivered again.
+  /// be among them, and its records are not delivered again. Other jobs that
+  /// are not among the keys become `Unfound`.
   /// Returns the number of removed jobs.
   std::size_t removeEndedExcept(const std::set<std::string> &keys);
+  /// All that the store had at the end of the load was applied: removes the
+  /// jobs that are still `Unfound`. Returns their number.
+  std::size_t removeUnfound();
 
   /// Only jobs whose submission is known.
   const RegistryEntry *find(const WorkId &id) const;
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -42,13 +42,7 @@
       JobsReader(
           loop, store, Settings.Jobs, jobsOptions(),
           [this](const KeyedRecord &it) { Registry.apply(it); },
-          [this] {
-            // Before the first complete read, a take-over would be slow.
-            if (JobsReader.currentAsOf())
-              Election.start();
-            Controller.onJobsReadUpTo(JobsReader.nextOffset());
-            Front.onJobsRead();
-          }),
+          [this] { onJobsRead(); }),
       ConfigurationReader(
           loop, store, Settings.Configuration, followerOptions(),
           [this](const KeyedRecord &it) { onConfiguration(it); },
@@ -91,6 +85,7 @@
                             [this] { onOwnership(Election.isOwner()); });
   };
   JobsReader.OnLoaded = [this](const std::set<std::string> &keys) {
+    JobsLoadedAt = monoNow();
     const std::size_t removed = Registry.removeEndedExcept(keys);
     Log("store", "loaded",
         "topic=jobs keys={} ended_jobs_removed={} read_to={}", keys.size(),
@@ -111,6 +106,20 @@
   };
 }
 
+void EntryNode::onJobsRead() {
+  const auto asOf = JobsReader.currentAsOf();
+  // Before the first complete read, a take-over would be slow.
+  if (asOf)
+    Election.start();
+  if (JobsLoadedAt && asOf && *asOf >= *JobsLoadedAt) {
+    JobsLoadedAt.reset();
+    if (const std::size_t removed = Registry.removeUnfound())
+      Log("store", "unfound_removed", "topic=jobs jobs={}", removed);
+  }
+  Controller.onJobsReadUpTo(JobsReader.nextOffset());
+  Front.onJobsRead();
+}
+
 void EntryNode::start() {
   JobsReader.setReadInterval(Settings.FollowerReadInterval);
   ConfigurationReader.start();
--- a/packages/control/src/job_load_test.cpp
+++ b/packages/control/src/job_load_test.cpp
@@ -26,6 +26,13 @@
     Vms.at(id)->View.LinkBytesPerSecond = LinkBytesPerSecond;
     runFor(Millis(40));
   }
+  /// Waits until the store has sent as many bytes of latest values.
+  void awaitBytes(const std::string &id, std::size_t n) {
+    const MemoryStoreView &view = Vms.at(id)->View;
+    for (int left = 1000; left > 0 && view.bytesSent() < n; --left)
+      runFor(Millis(1));
+    BOOST_REQUIRE(view.bytesSent() >= n);
+  }
 };
 
 } // namespace
@@ -70,4 +77,61 @@
   BOOST_TEST(state("vm-2") == "completed");
 }
 
+// Guards against an entry VM that was cut off for longer than the store keeps
+// records: a job that ended and was deleted meanwhile stayed in its replica as
+// running, and it started the job again as the next owner.
+BOOST_AUTO_TEST_CASE(job_deleted_while_a_vm_was_cut_off_is_not_started_again) {
+  add("vm-3");
+  runFor(Millis(100));
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(state("vm-3") == "running");
+  Vms.at("vm-3")->View.Faults.SilentTopics = {Jobs};
+  runFor(Millis(60));
+  Fleet.end("i-1", Fleet.anyRun().second, RunOutcome::Done);
+  runFor(Millis(60));
+  BOOST_REQUIRE(state("vm-1") == "completed");
+  for (const std::string &key : {cancelKey(Job), stateKey(Job), specKey(Job)})
+    Store.put(Jobs, {key, std::nullopt});
+  Store.compact(Jobs);
+  Vms.at("vm-3")->View.Faults.SilentTopics.clear();
+  runFor(Millis(400));
+  BOOST_TEST(state("vm-3") == "no_job");
+  kill("vm-1");
+  kill("vm-2");
+  runFor(Millis(400));
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
+// Guards against a load that takes a job which this entry VM has accepted
+// meanwhile for a deleted one.
+BOOST_AUTO_TEST_CASE(job_submitted_during_a_load_stays_known) {
+  Store.put(Servers, {"i-1", "draining"});
+  add("vm-3");
+  runFor(Millis(100));
+  MemoryStoreView &view = Vms.at("vm-3")->View;
+  view.Faults.SilentTopics = {Jobs};
+  runFor(Millis(60));
+  Store.put(Jobs, {"k1", std::string(PageBytes / 3, 'y')});
+  Store.compact(Jobs);
+  view.LinkBytesPerSecond = LinkBytesPerSecond;
+  view.Faults.SilentTopics.clear();
+  const std::size_t before = view.bytesSent();
+  awaitBytes("vm-3", before + 1);
+  BOOST_TEST(submit("vm-3") == "accepted");
+  // The last page arrives, but no read in order is answered.
+  awaitBytes("vm-3", before + PageBytes + 100);
+  view.Faults.SilentTopics = {Jobs};
+  runFor(Millis(60));
+  BOOST_TEST(state("vm-3") == "queued");
+  view.Faults.SilentTopics.clear();
+  runFor(Millis(400));
+  BOOST_TEST(state("vm-3") == "queued");
+  kill("vm-1");
+  kill("vm-2");
+  Store.put(Servers, {"i-1", "ready"});
+  runFor(Millis(500));
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -158,7 +158,8 @@
 
 void PodController::loadJob(const WorkId &id) {
   const RegistryEntry *entry = Registry.find(id);
-  if (!entry || UnreadEnds.contains(id))
+  // An unfound job is loaded once its submission is read.
+  if (!entry || entry->Unfound || UnreadEnds.contains(id))
     return;
   if (!Planner->find(id)) {
     WorkRecord record;
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -61,21 +61,29 @@
 
 void WorkRegistry::applySpec(WorkSpec spec) {
   RegistryEntry &entry = Entries[spec.Id];
-  if (entry.Spec)
+  const bool wasUnfound = std::exchange(entry.Unfound, false);
+  if (entry.Spec && !wasUnfound)
     return;
   const WorkId id = spec.Id;
-  entry.Spec = std::move(spec);
+  if (!entry.Spec)
+    entry.Spec = std::move(spec);
   if (OnJobChange)
     OnJobChange(id);
 }
 
 std::size_t WorkRegistry::removeEndedExcept(const std::set<std::string> &keys) {
-  return std::erase_if(Entries, [&](const auto &it) {
-    return ended(it.second.Phase) && !keys.contains(specKey(it.first)) &&
-           !keys.contains(stateKey(it.first));
+  for (auto &[id, entry] : Entries)
+    entry.Unfound = !keys.contains(specKey(id)) && !keys.contains(stateKey(id));
+  return std::erase_if(Entries, [](const auto &it) {
+    return it.second.Unfound && ended(it.second.Phase);
   });
 }
 
+std::size_t WorkRegistry::removeUnfound() {
+  return std::erase_if(Entries,
+                       [](const auto &it) { return it.second.Unfound; });
+}
+
 const RegistryEntry *WorkRegistry::find(const WorkId &id) const {
   const auto it = Entries.find(id);
   return it == Entries.end() || !it->second.Spec ? nullptr : &it->second;
