Count no report that is read after a failed read of the server list

What callers would see: the run of a draining server that the owner can't reach starts elsewhere at once while it still runs there.

Cause: a failed read of the server list forgets the reports before it, since entries may lapse with the outage. A report from before the outage that the owner had not read yet was counted when it was read after it, together with the removal of the entry.

Gaps are not affected: the removal itself is compared with the read before it.

Why it works: a report counts only if the read before its own succeeded, so that no outage that is known lies between the report and the removal.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -181,6 +181,8 @@
   std::map<BackendServerId, MonoTime> ReportedAfter;
   /// Time as of which the server list was last read.
   std::optional<MonoTime> ServersReadAsOf;
+  /// A read failed, and none has succeeded since.
+  bool ServersReadFailed = false;
   /// When an entry of each listed incarnation was last read.
   std::map<ServerIncarnation, MonoTime> LastReadAt;
   /// The current incarnation on each machine.
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -43,8 +43,10 @@
     onServersLoaded(keys);
   };
   ServersReader.OnHealth = [this](bool works, const std::string &reason) {
-    if (!works)
+    if (!works) {
       ReportedAfter.clear();
+      ServersReadFailed = true;
+    }
     Log("store", works ? "regained" : "lost",
         "topic=servers list_age_ms={} why=\"{}\"", listAge().count(), reason);
   };
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -87,12 +87,14 @@
   if (asOf && ServersReadAsOf && *asOf - *ServersReadAsOf > Options.MaxReadGap)
     ReportedAfter.clear();
   ServersReadAsOf = asOf;
+  ServersReadFailed = false;
 }
 
 void PodController::noteReport(const BackendServerId &id) {
-  // A record that is read in order was appended after the previous read.
+  // A record that is read in order was appended after the previous read, but
+  // after a failed one perhaps before the outage.
   const auto previousRead = ServersReader.currentAsOf();
-  if (previousRead && !ServersReader.loading())
+  if (previousRead && !ServersReader.loading() && !ServersReadFailed)
     ReportedAfter.insert_or_assign(id, *previousRead);
   else
     ReportedAfter.erase(id);
--- a/packages/control/src/server_list_test.cpp
+++ b/packages/control/src/server_list_test.cpp
@@ -153,4 +153,18 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+// The same, with the last report before the outage read only after it.
+BOOST_AUTO_TEST_CASE(report_read_after_a_failed_read_proves_no_departure) {
+  startUnderSlowReports(Millis(600));
+  Vms.at("vm-3")->View.Faults.Busy = true;
+  runFor(Millis(60));
+  Store.put(Servers, {"i-1", "draining"});
+  Store.put(Servers, {"i-1", std::nullopt});
+  Vms.at("vm-3")->View.Faults.Busy = false;
+  runFor(Millis(300));
+  BOOST_TEST(Fleet.started() == 1U);
+  awaitLeaseEnd();
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
