--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -43,8 +43,10 @@
     onServersLoaded(keys);
   };
   ServersReader.OnHealth = [this](bool works, const std::string &reason) {
-    if (!works)
+    if (!works) {
       ReportedAfter.clear();
+      ServersReadFailed = true;
+    }
     Log("store", works ? "regained" : "lost",
         "topic=servers list_age_ms={} why=\"{}\"", listAge().count(), reason);
   };
@@ -159,7 +161,8 @@
 
 void PodController::loadJob(const WorkId &id) {
   const RegistryEntry *entry = Registry.find(id);
-  if (!entry || UnreadEnds.contains(id))
+  // An unfound job is loaded once its submission is read.
+  if (!entry || entry->Unfound || UnreadEnds.contains(id))
     return;
   if (!Planner->find(id)) {
     WorkRecord record;
