Complete a job whose later run was withdrawn after an earlier one was done

What callers would see: a job whose tasks have all ended as done is shown as running for good, under later owners too.

A stop of a start that was never sent (the server list is too old, or the server's clock is not known) is reported as missing from within the round, after its completions and before takeChangedWork(): the record that all tasks are done is stored, and nothing looks at the job again. A next owner finds the job running without a task to place, which nothing completed either.

Why it works: each round completes the jobs whose tasks are all done, by their records and not by what has changed since.

--- a/packages/control/src/server_lease_test.cpp
+++ b/packages/control/src/server_lease_test.cpp
@@ -84,4 +84,25 @@
   BOOST_TEST(Fleet.running() == 1U);
 }
 
+// Guards against a job that is shown as running for good: the start of its
+// second run waited for the server list when its first run turned out done.
+BOOST_FIXTURE_TEST_CASE(job_is_completed_by_an_earlier_run_while_a_start_waits,
+                        LeaseSite) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Store.put(Servers, {"i-2", "ready"});
+  runFor(Millis(60));
+  Fleet.end("i-1", Fleet.anyRun().second, RunOutcome::Done);
+  Fleet.at("i-1").Silent = true;
+  Vms.at("vm-1")->View.Faults.SilentTopics = {Servers};
+  runFor(Millis(3000));
+  Fleet.at("i-1").Silent = false;
+  runFor(Millis(200));
+  Vms.at("vm-1")->View.Faults.SilentTopics.clear();
+  runFor(Millis(1500));
+  BOOST_TEST(state("vm-1") == "completed");
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -258,8 +258,8 @@
   void stopRunsOfDoneTasks(const WorkId &id, PlannedWork &work);
   void completeIfDone(const WorkId &id, PlannedWork &work, std::int64_t wallMs);
   /// Completes jobs whose last task was released after an earlier run had ended
-  /// as done.
-  void completeChangedWork(std::int64_t wallMs);
+  /// as done, be it by a previous owner.
+  void completeDoneWork(std::int64_t wallMs);
   void stopGang(const TaskName &member, const char *reason);
 
   // One round: pod_planner_round.cpp; preemption and reservations are in
--- a/packages/workload/src/earlier_run_test.cpp
+++ b/packages/workload/src/earlier_run_test.cpp
@@ -103,4 +103,31 @@
   BOOST_TEST((next.phase("a") == WorkPhase::Completed));
 }
 
+// Guards against a job that stays running for good: the stop of a start that
+// was never sent is reported between plan() and takeChangedWork().
+BOOST_AUTO_TEST_CASE(job_completes_when_the_later_start_was_never_sent) {
+  addServers(2);
+  submit(job("a", 1, 1, false));
+  const PlannedRound first = plan();
+  Planner.expireLeases(first.Starts[0].Server, Now);
+  const PlannedRound second = plan();
+  BOOST_REQUIRE(second.Starts.size() == 1U);
+  const StartOrder &later = second.Starts[0];
+  end(first.Starts[0], RunOutcome::Done);
+  BOOST_REQUIRE(plan().Stops.size() == 1U);
+  Planner.recordMissingRun(later.Task, later.Run, later.Server, Now);
+  const auto record =
+      decodeWorkRecord(encode(Planner.find(WorkId("a"))->Record));
+  Planner.takeChangedWork();
+  planAfter(Seconds(1));
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+  // A next owner finds all tasks done and the job running.
+  PlannerFixture next;
+  next.addServers(2);
+  next.Planner.addWork(job("a", 1, 1, false), std::get<WorkRecord>(record),
+                       next.Now);
+  next.plan();
+  BOOST_TEST((next.phase("a") == WorkPhase::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -336,10 +336,9 @@
   finish(id, work, WorkPhase::Completed, wallMs);
 }
 
-void PodPlanner::completeChangedWork(std::int64_t wallMs) {
-  for (const WorkId &it : Changed)
-    if (const auto work = Works.find(it); work != Works.end())
-      completeIfDone(it, work->second, wallMs);
+void PodPlanner::completeDoneWork(std::int64_t wallMs) {
+  for (auto &[id, work] : Works)
+    completeIfDone(id, work, wallMs);
 }
 
 } // namespace citrongap
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -339,7 +339,7 @@
   std::erase_if(UrgentArrivals, [&](const auto &it) {
     return now - it.first >= Options.ArrivalWindow;
   });
-  completeChangedWork(wallMs);
+  completeDoneWork(wallMs);
   RoundOutcomes = {};
   EmptyOutcomes = {};
   if (now - SweptAt >= Options.SweepInterval) {
