Do not tell "not run" of a job that may have run

Callers: three ways to hear "not run" of a job that ran, or may have run. - An unrepeatable job whose claim waits ("some servers have not told what they run") was refused by the scheduler when it was admitted again: "not run", while a server out of sight may be running it. - A repeatable job that had lost its run was refused when it was to run again (for instance "it failed on several servers of good standing"). - The same job was cancelled while it waited: "cancelled before it ran".

Cause: each place that refuses decided for itself; only the scheduler's own refusals asked whether an earlier claim is in doubt, and the scheduler forgets that a job ran once a run has ended.

Now all refusals go through one function, and the owner keeps that some attempt ran, also one that it found at a server.

Ruled out: refusals of a claim (the log decides there) and of a claim that was given back.

Tests: daemon_test, three new; on the old code "check site.endedAs<Unknown>(job) has failed" and twice "check site.endedAs<Failed>(job) has failed".

--- a/packages/daemon/include/citrongap/daemon/pod_owner.h
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -110,6 +110,8 @@
     bool Claiming = false;
     /// An earlier claim of doubtful fate; "not run" can't be said.
     bool InDoubt = false;
+    /// Some attempt ran; "not run" can't be said.
+    bool Ran = false;
     Timer ClaimRetry;
     /// The log has the outcome.
     bool EndRecorded = false;
@@ -161,6 +163,8 @@
   void retryOrFail(OwnedJob &owned, const RunEnd &end);
   std::unique_ptr<GangRun> makeRun(const AttemptRecord &record);
   void onNeverRan(OwnedJob &owned, const RunEnd &end);
+  /// Ends a job that does not start: as "not run" unless it may have run.
+  void refuse(const JobId &id, const NotRun &why);
   void endJob(const JobId &id, const Outcome &outcome);
   bool inLog(const OwnedJob &owned) const;
   void onEndRecorded(const JobId &id, Recorded recorded);
--- a/packages/daemon/src/pod_owner.cpp
+++ b/packages/daemon/src/pod_owner.cpp
@@ -214,6 +214,7 @@
     done += it.Status == TaskStatus::Done ? 1 : 0;
   }
   OwnedJob &owned = knownJob(job);
+  owned.Ran = owned.Ran || ran;
   for (const auto &it : found.States)
     owned.Unacknowledged.emplace_back(
         found.Record.Where.Parts.at(it.Part).Server, it.Task);
@@ -259,15 +260,10 @@
 
 void PodOwner::carryOut(const RefuseJob &decision) {
   const auto it = Jobs.find(decision.Job);
-  if (it != Jobs.end() && it->second.InDoubt)
-    endJob(decision.Job, Unknown{"it was claimed, and no server told what "
-                                 "became of it"});
-  else if (decision.MayHaveRun)
-    endJob(decision.Job,
-           Failed{decision.Reason.Reason + ", after it was stopped "
-                                           "once"});
-  else
-    endJob(decision.Job, decision.Reason);
+  if (it == Jobs.end())
+    return;
+  it->second.Ran = it->second.Ran || decision.MayHaveRun;
+  refuse(decision.Job, decision.Reason);
 }
 
 std::unique_ptr<GangRun> PodOwner::makeRun(const AttemptRecord &record) {
--- a/packages/daemon/src/pod_owner_ends.cpp
+++ b/packages/daemon/src/pod_owner_ends.cpp
@@ -30,6 +30,7 @@
   owned.EndedAttempts.push_back(owned.Run->record().Attempt);
   Finished.push_back(std::move(owned.Run));
   owned.Run = nullptr;
+  owned.Ran = owned.Ran || end.Ran;
   poke();
   if (end.Succeeded) {
     Scheduler->jobEnded(id, {true, end.RanMs, {}}, monoNow());
@@ -79,12 +80,22 @@
   }
   if (owned.CancelAsked) {
     freePlacement(id);
-    endJob(id, NotRun{"cancelled before it ran", 0});
+    refuse(id, NotRun{"cancelled before it ran", 0});
     return;
   }
   Scheduler->startFailed(id, end.Unresponsive, monoNow());
 }
 
+void PodOwner::refuse(const JobId &id, const NotRun &why) {
+  const OwnedJob &owned = Jobs.at(id);
+  if (owned.InDoubt)
+    endJob(id, Unknown{"it was claimed, and no server told what became of it"});
+  else if (owned.Ran)
+    endJob(id, Failed{why.Reason + ", after it was stopped once"});
+  else
+    endJob(id, why);
+}
+
 void PodOwner::endJob(const JobId &id, const Outcome &outcome) {
   const auto it = Jobs.find(id);
   if (it == Jobs.end() || it->second.Ended)
--- a/packages/daemon/src/pod_owner_jobs.cpp
+++ b/packages/daemon/src/pod_owner_jobs.cpp
@@ -136,7 +136,7 @@
   owned->At = Pod;
   const auto taken = Scheduler->submit(owned->Job, wallNow(), monoNow());
   if (const auto *refused = std::get_if<NotRun>(&taken)) {
-    endJob(id, *refused);
+    refuse(id, *refused);
     return;
   }
   recordAccepted(id);
@@ -295,7 +295,7 @@
   if (owned.Claiming || owned.InDoubt)
     return;
   Scheduler->cancelQueued(job);
-  endJob(job, NotRun{"cancelled before it ran", 0});
+  refuse(job, NotRun{"cancelled before it ran", 0});
 }
 
 } // namespace citrongap
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -38,6 +38,7 @@
   void letGo() override {}
   void claim(const JobRequest &, ClaimCircumstances,
              std::function<void(const ClaimAnswer &)> callback) override {
+    ++Claimed;
     callback(Next);
   }
   void release(const JobRequest &, const std::string &,
@@ -67,6 +68,7 @@
 
   ClaimAnswer Next = ClaimGranted{"claim", wallNow() + Seconds(10)};
   Recorded Log = Recorded::Yes;
+  unsigned Claimed = 0;
   unsigned Releases = 0;
   /// The log names the owner.
   bool Holds = true;
@@ -490,6 +492,49 @@
   BOOST_TEST(site.Servers.releases(id) == 0U);
 }
 
+// The scheduler refused the job when it was admitted again, while a server that
+// had not told what it runs might have been running it.
+BOOST_AUTO_TEST_CASE(
+    not_run_is_not_told_of_a_claimed_job_that_is_not_admitted_again) {
+  Fixture site;
+  site.Claims.Next = ClaimDeferred{"some servers have not told what they run"};
+  const auto job = Fixture::job("k", 1, false);
+  site.Owner->submit(job, {FrontA, false, true}, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.Claims.Claimed == 1; }));
+  site.Owner->configure(Configuration());
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<Unknown>(job));
+}
+
+// A run was lost, and the scheduler refused the job when it was to run again.
+BOOST_AUTO_TEST_CASE(not_run_is_not_told_of_a_job_that_is_refused_after_a_run) {
+  Fixture site(2);
+  site.Servers.setRun(Seconds(60));
+  const auto job = Fixture::job("k", 1);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 1; }));
+  site.Owner->configure(Configuration());
+  site.Servers.setSilent(site.Servers.serverOf(job.Id), true);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<Failed>(job));
+}
+
+// A run was lost, and the job was cancelled while it waited for another one.
+BOOST_AUTO_TEST_CASE(
+    not_run_is_not_told_of_a_job_that_is_cancelled_after_a_run) {
+  Fixture site(2);
+  site.Servers.setRun(Seconds(60));
+  const auto job = Fixture::job("k", 16);
+  site.Owner->submit(job, {FrontA, false, false}, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.Servers.running(job.Id) == 2; }));
+  site.Servers.setSilent(BackendServerId("s1"), true);
+  BOOST_REQUIRE(site.until(
+      [&] { return site.Owner->view(job.Id).Stage == JobStage::Waiting; }));
+  site.Owner->cancel(job.Id, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.ended(job); }));
+  BOOST_CHECK(site.endedAs<Failed>(job));
+}
+
 BOOST_AUTO_TEST_CASE(a_front_that_asks_while_a_refusal_is_recorded_is_told) {
   Fixture site;
   site.Claims.Next = ClaimDenied{NotRun{"the log is slow", 1000}};
