Do not count the server list of an earlier ownership as loaded

What callers would see: a task that is done starts again. It needs an owner that takes over again (after it was fenced, or its membership ran out) and gets no answers about the server list until the leases that it inherits have ended.

Cause: TopicReader kept its 'loaded' from before a stop(), while the owner drops the list when it steps down. So releaseUnlistedRuns() took every run for one on an unlisted server, and the task was placed again before its server could be asked, which held its end.

Evidence: the log of the test on the code before: unlisted_runs_released 50 ms after the end of the inherited leases with the list out of reach, then run 2 starts elsewhere, 8 ms before run 1 is listed as done.

Why it works: start() begins anew. The reader is loaded and current only by what it has read since.

--- a/packages/control/src/server_list_test.cpp
+++ b/packages/control/src/server_list_test.cpp
@@ -167,4 +167,24 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+// Guards against an owner that takes over again and counts the list that it
+// loaded in its earlier ownership: it released runs before it knew the servers,
+// and a task that was done started again.
+BOOST_AUTO_TEST_CASE(owner_again_releases_no_run_before_it_has_the_list) {
+  startOn("i-1", "ready");
+  Vms.at("vm-1")->View.Faults.SilentTopics = {Servers};
+  // The server has accepted an order of the next epoch.
+  Fleet.at("i-1").Token = Fleet.at("i-1").Token.next();
+  runFor(Millis(60));
+  Fleet.end("i-1", Fleet.anyRun().second, RunOutcome::Done);
+  runFor(Millis(400));
+  awaitLeaseEnd();
+  Store.put(Servers, {"i-2", "ready"});
+  Vms.at("vm-1")->View.Faults.SilentTopics.clear();
+  // The read in progress is given up after a second.
+  runFor(Millis(1700));
+  BOOST_TEST(state("vm-1") == "completed");
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/store/include/citrongap/store/topic_reader.h
+++ b/packages/store/include/citrongap/store/topic_reader.h
@@ -57,16 +57,17 @@
               TopicReaderOptions options, OnRecord onRecord,
               std::function<void()> onBatch);
 
-  /// Loads the latest values, then follows the topic.
+  /// Loads the latest values, then follows the topic. After a stop(), the
+  /// reader begins anew: it is neither loaded nor current.
   void start();
   /// Stops reading; answers to calls in flight are ignored.
   void stop();
   /// All records that the store had at this time were read; empty before the
-  /// reader first reached the end of the topic.
+  /// reader first reached the end of the topic after start().
   std::optional<MonoTime> currentAsOf() const { return CurrentAsOf; }
   /// Every record before this offset was read, or a newer one of its key.
   LogOffset nextOffset() const { return NextOffset; }
-  /// All latest values were loaded at least once.
+  /// All latest values were loaded at least once since start().
   bool loaded() const { return Loaded; }
   /// A load of the latest values is in progress or scheduled, so a record that
   /// is delivered may be of any age.
--- a/packages/store/src/topic_reader.cpp
+++ b/packages/store/src/topic_reader.cpp
@@ -14,6 +14,9 @@
 
 void TopicReader::start() {
   Running = true;
+  // After a stop(), the user may have dropped what it was given.
+  Loaded = false;
+  CurrentAsOf.reset();
   load();
 }
 
