Count an end as done of the last run on another life of its server

What callers would see: a task starts again after its run has ended as done, and that end was acknowledged.

The same class: an end that is listed is taken as read, whatever the planner knows.

Evidence: by reading; the test done_of_a_released_run_on_the_servers_next_life_counts failed before: 'check planAfter(Seconds(1)).Starts.empty() has failed', 'check (phase("a") == WorkPhase::Completed) has failed'. It passes now.

Why it works: any end as done of a run that was placed means that the task is done. A task that is done already is left alone, so the ends of the other members of a gang write nothing.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -237,9 +237,12 @@
   /// a list without it; no other has been placed.
   bool isReleasedRun(const TaskName &task, std::uint32_t run,
                      const ServerIncarnation &server) const;
+  /// A run of a task that is not done, which is known not to be the current
+  /// one: an earlier one, or the last one on another life of its server.
+  bool isOtherRun(const TaskName &task, std::uint32_t run) const;
   void recordDone(const TaskName &task, std::int64_t wallMs, MonoTime now);
-  /// A run before the task's last one has ended as done. A placed run is
-  /// stopped, and the task is done once that has ended.
+  /// Such a run has ended as done. A placed run is stopped, and the task is
+  /// done once that has ended.
   void recordEarlierDone(const TaskName &task, std::int64_t wallMs);
   TaskRecord *findCurrentRun(const TaskName &task, std::uint32_t run,
                              const ServerIncarnation &server);
--- a/packages/workload/src/earlier_run_test.cpp
+++ b/packages/workload/src/earlier_run_test.cpp
@@ -130,4 +130,20 @@
   BOOST_TEST((next.phase("a") == WorkPhase::Completed));
 }
 
+// Guards against a start of a task whose released run was started late by the
+// server's next life and has ended there as done.
+BOOST_AUTO_TEST_CASE(done_of_a_released_run_on_the_servers_next_life_counts) {
+  addServers(1);
+  submit(job("a", 1, 1, false));
+  const PlannedRound first = plan();
+  BOOST_REQUIRE(first.Starts.size() == 1U);
+  Planner.removeIncarnation(incarnation(0), Now);
+  addServers(1, 2);
+  StartOrder late = first.Starts[0];
+  late.Server = incarnation(0, 2);
+  end(late, RunOutcome::Done);
+  BOOST_TEST(planAfter(Seconds(1)).Starts.empty());
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -230,6 +230,11 @@
          record->Server == server;
 }
 
+bool PodPlanner::isOtherRun(const TaskName &task, std::uint32_t run) const {
+  const TaskRecord *record = findTask(task);
+  return record && record->Stage != TaskStage::Done && record->Run >= run;
+}
+
 const TaskRecord *PodPlanner::findTask(const TaskName &task) const {
   const auto it = Works.find(task.Work);
   if (it == Works.end())
--- a/packages/workload/src/pod_planner_reports.cpp
+++ b/packages/workload/src/pod_planner_reports.cpp
@@ -69,7 +69,7 @@
   if (!record) {
     if (outcome == RunOutcome::Done && isReleasedRun(task, run, server))
       recordDone(task, wallMs, now);
-    else if (outcome == RunOutcome::Done && wasReplaced(task, run))
+    else if (outcome == RunOutcome::Done && isOtherRun(task, run))
       recordEarlierDone(task, wallMs);
     return;
   }
