Call each life of a server under a token of its own

A call names a server by its id only, so one without an answer may be carried out by the server's next life. The owner's token was the same for both, and the next life took the call as one meant for it. A late poll that was the first to acknowledge some ends made it forget ends with the same numbers that the owner had not received: the run counted as missing, and its task, which had ended as done, started again.

The owner now calls a server under a token that is one higher for each link to it that it has dropped. A server does nothing for a lower token than it has seen, so the first call to the next life, the poll that the new link sends at once, ends late polls, late leases and late starts. A server with more lives than that under one owner keeps the last token, as before.

A link that was dropped may be refused since the new one uses a higher token; that is not the order of a newer owner, and is ignored.

What remains: a late call that the next life carries out before the first one under the new token. The owner has started nothing there then.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -99,6 +99,9 @@
   /// It is known to have ended, or one that started later is listed.
   bool hasEnded(const ServerIncarnation &incarnation) const;
   void addLink(const ServerEntry &entry);
+  /// Token for calls to the server's current incarnation. It is above that of
+  /// calls for an earlier one, which the server refuses once it has seen it.
+  Epoch tokenFor(const BackendServerId &id) const;
   /// Has the server refuse starts that were sent to an earlier incarnation.
   void barLateStarts(const ServerIncarnation &incarnation, ServerLink &link);
   void dropServer(const ServerIncarnation &incarnation, const char *reason);
@@ -168,6 +171,8 @@
     std::vector<RunId> Runs;
   };
   std::map<BackendServerId, LateStarts> StartsOfDroppedLinks;
+  /// Links that this owner has dropped, by server.
+  std::map<BackendServerId, std::uint64_t> DroppedLinks;
   /// Links whose callbacks may be on the stack; destroyed in the next round.
   std::vector<std::unique_ptr<ServerLink>> RetiredLinks;
   /// Parts of the previous ownership, kept for the same reason.
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -177,6 +177,9 @@
   /// is incomplete.
   void reportMissingRuns(MonoTime sentAt, const PollAnswer &answer,
                          MonoTime now);
+  /// A link that was dropped may be refused since the link to the server's next
+  /// incarnation uses a higher token.
+  void reportFenced();
   void onPollFailed(const FleetError &error);
   void readClock(ServerClockMs clock);
   /// Earliest time that the server's clock may show at `now`.
--- a/packages/control/src/fake_fleet.cpp
+++ b/packages/control/src/fake_fleet.cpp
@@ -196,7 +196,8 @@
     answer<PollAnswer>(it, done, FleetError(OrderNotSent{}), deadline);
     return;
   }
-  if (it.DelayPolls) {
+  if (it.DelayPolls ||
+      (it.DelayAcknowledgements && request.AcknowledgedUpTo > 0)) {
     it.DelayedPolls.emplace_back(request, token);
     PendingReplies.push_back(Loop.at(
         deadline, [done] { done(FleetError(OrderOutcomeUnknown{"held"})); }));
--- a/packages/control/src/fake_fleet.h
+++ b/packages/control/src/fake_fleet.h
@@ -44,6 +44,8 @@
     /// Polls get no answer and are queued for deliverDelayedPolls().
     bool DelayPolls = false;
     std::vector<std::pair<PollRequest, Epoch>> DelayedPolls;
+    /// The same, for polls that acknowledge run ends only.
+    bool DelayAcknowledgements = false;
     /// Listed as running beside `Running`, as by an answer that was overtaken.
     std::vector<ListedRun> AlsoListed;
     /// Connections are refused.
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -131,6 +131,7 @@
   ReplacedByEarlier.clear();
   LateLeaseEnds.clear();
   StartsOfDroppedLinks.clear();
+  DroppedLinks.clear();
   UnreadEnds.clear();
   // Callbacks of the appender and the links may be on the stack.
   RoundTimer = Loop.at(monoNow(), [this] { runRound(); });
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -2,6 +2,8 @@
 // of the backend servers.
 #include "citrongap/control/pod_controller.h"
 
+#include "citrongap/store/owner_election.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -164,14 +166,22 @@
     return;
   auto link = std::make_unique<ServerLink>(
       Loop, Fleet, *Planner, Log, entry.Incarnation,
-      Endpoint{entry.Ip, entry.Port}, Token, Options.Link,
-      inheritedLeaseEnd(entry.Incarnation), linkEvents());
+      Endpoint{entry.Ip, entry.Port}, tokenFor(entry.Incarnation.Id),
+      Options.Link, inheritedLeaseEnd(entry.Incarnation), linkEvents());
   ServerLink &added = *link;
   Links.emplace(entry.Incarnation, std::move(link));
   barLateStarts(entry.Incarnation, added);
   added.pollIfNeeded();
 }
 
+Epoch PodController::tokenFor(const BackendServerId &id) const {
+  const auto dropped = DroppedLinks.find(id);
+  if (dropped == DroppedLinks.end())
+    return Token;
+  return Epoch(Token.value() + std::min(dropped->second,
+                                        OwnerElection::EpochsPerOwnership - 1));
+}
+
 void PodController::barLateStarts(const ServerIncarnation &incarnation,
                                   ServerLink &link) {
   const auto found = StartsOfDroppedLinks.find(incarnation.Id);
@@ -282,6 +292,7 @@
           incarnation.Id, LateStarts{monoNow() + Options.Link.AnswerTimeout +
                                          Options.Link.MaxOrderDelay,
                                      std::move(late)});
+    ++DroppedLinks[incarnation.Id];
     link->second->setActive(false);
     RetiredLinks.push_back(std::move(link->second));
     Links.erase(link);
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -192,7 +192,7 @@
   Log("order", "start_failed", "task={} run={} server={} why=\"{}\"",
       task.str(), run, Incarnation.Id.str(), describe(error));
   if (std::holds_alternative<ServerFenced>(error)) {
-    Notify.Fenced(Incarnation);
+    reportFenced();
   } else if (std::holds_alternative<IncarnationMismatch>(error)) {
     Notify.IncarnationChanged(Incarnation);
   } else if (const auto *refused = std::get_if<OrderRefused>(&error)) {
@@ -266,7 +266,7 @@
   Log("order", "stop_failed", "task={} run={} server={} why=\"{}\"", task.str(),
       run, Incarnation.Id.str(), describe(error));
   if (std::holds_alternative<ServerFenced>(error)) {
-    Notify.Fenced(Incarnation);
+    reportFenced();
     return;
   }
   if (std::holds_alternative<IncarnationMismatch>(error)) {
@@ -277,6 +277,11 @@
       Loop.at(now + Options.RetryDelay, [this, id] { sendStop(id); });
 }
 
+void ServerLink::reportFenced() {
+  if (Active)
+    Notify.Fenced(Incarnation);
+}
+
 bool ServerLink::needsPoll() const {
   return !Synchronized || !TrackedRuns.empty() ||
          ConfirmedUpTo < ReceivedUpTo || FailedPolls > 0;
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -83,7 +83,7 @@
 
 void ServerLink::onPollFailed(const FleetError &error) {
   if (std::holds_alternative<ServerFenced>(error)) {
-    Notify.Fenced(Incarnation);
+    reportFenced();
     return;
   }
   if (std::holds_alternative<IncarnationMismatch>(error)) {
--- a/packages/control/src/server_rebirth_test.cpp
+++ b/packages/control/src/server_rebirth_test.cpp
@@ -178,4 +178,26 @@
   BOOST_TEST(state("vm-1") == "completed");
 }
 
+// The same, with a poll that no answered one has preceded in acknowledging the
+// ends.
+BOOST_AUTO_TEST_CASE(late_first_acknowledgement_at_the_next_life_loses_no_end) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  Fleet.at("i-1").DelayAcknowledgements = true;
+  Fleet.end("i-1", {Job, 0, 0, 0}, RunOutcome::Done);
+  runFor(Millis(60));
+  BOOST_REQUIRE(!Fleet.at("i-1").DelayedPolls.empty());
+  restart();
+  runFor(Millis(60));
+  Job = WorkId("6c0e7a21d94b36f8");
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Fleet.end("i-1", {Job, 0, 0, 0}, RunOutcome::Done);
+  Fleet.deliverDelayedPolls("i-1");
+  runFor(Millis(200));
+  BOOST_TEST(Fleet.started() == 2U);
+  BOOST_TEST(state("vm-1") == "completed");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/store/include/citrongap/store/owner_election.h
+++ b/packages/store/include/citrongap/store/owner_election.h
@@ -57,8 +57,10 @@
   Epoch generation() const { return Generation; }
   /// Fencing epoch for an ownership that begins now. It is above all earlier
   /// ones, and no other member can use it, since the topic has one owner in
-  /// each generation.
+  /// each generation. The `EpochsPerOwnership` epochs from it on belong to the
+  /// ownership.
   Epoch nextEpoch();
+  static constexpr std::uint64_t EpochsPerOwnership = 16;
   /// Called each time this member becomes or ceases to be the owner.
   std::function<void(bool isOwner)> OnChange;
 
--- a/packages/store/src/owner_election.cpp
+++ b/packages/store/src/owner_election.cpp
@@ -111,9 +111,9 @@
 Epoch OwnerElection::nextEpoch() {
   // A session that expires and is renewed within one generation begins a new
   // ownership each time. A generation has far fewer of them than this bound.
-  constexpr std::uint64_t OwnershipsPerGeneration = 1U << 16U;
-  return Epoch(Generation.value() * OwnershipsPerGeneration +
-               OwnershipsInGeneration++);
+  constexpr std::uint64_t EpochsPerGeneration = 1U << 16U;
+  return Epoch(Generation.value() * EpochsPerGeneration +
+               OwnershipsInGeneration++ * EpochsPerOwnership);
 }
 
 void OwnerElection::reportChange() {
--- a/packages/store/src/owner_election_test.cpp
+++ b/packages/store/src/owner_election_test.cpp
@@ -120,4 +120,20 @@
   BOOST_TEST(standby.isOwner());
 }
 
+// Calls under an epoch that the next ownership shares would not be refused.
+BOOST_AUTO_TEST_CASE(epochs_of_an_ownership_are_below_those_of_the_next) {
+  First.start();
+  runFor(Millis(30));
+  const Epoch first = First.nextEpoch();
+  const Epoch second = First.nextEpoch();
+  BOOST_TEST(second.value() - first.value() >=
+             OwnerElection::EpochsPerOwnership);
+  Second.start();
+  First.leave();
+  runFor(Millis(60));
+  BOOST_REQUIRE(Second.isOwner());
+  BOOST_TEST(Second.nextEpoch().value() - second.value() >=
+             OwnerElection::EpochsPerOwnership);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
