Leave an append unknown that was fenced beside an unanswered attempt

What callers would see: none today; a client could be told "not run" of a record that is stored, if its entry VM's producer were ever fenced. An owner that is fenced steps down whatever the outcome.

Cause: RelayedStore makes several attempts of one call. A fence or a sequence mismatch that one path reports was passed on as it is while another attempt had no answer or was still in flight. BatchAppender, which had made one call, then reported that the batch was not appended. For a refusal this was mended before.

Ruled out, by reading: BatchAppender itself. failAll() reports the batch in flight as unknown when any call of it was, and queued appends, which were never sent, as not appended; OutcomeUnknown is reset with each batch.

Why it works: the fence or mismatch still arrives at once (waiting for the other attempt could keep a fenced owner for as long as its direct path is silent), with a note that another attempt may have taken effect.

--- a/packages/store/include/citrongap/store/store_port.h
+++ b/packages/store/include/citrongap/store/store_port.h
@@ -92,10 +92,15 @@
   std::string Reason;
 };
 /// The same producer has written with a newer epoch.
-struct StoreFenced {};
+struct StoreFenced {
+  /// Another attempt of this call got no answer and may have taken effect.
+  bool AfterUnknown = false;
+};
 /// The append's sequence number is not the producer's next one, `Expected`.
 struct StoreOutOfSequence {
   std::uint64_t Expected = 0;
+  /// See StoreFenced.
+  bool AfterUnknown = false;
 };
 /// Records before offset `First` are no longer retained.
 struct StoreTruncated {
--- a/packages/store/src/batch_appender.cpp
+++ b/packages/store/src/batch_appender.cpp
@@ -7,6 +7,19 @@
 
 namespace citrongap {
 
+namespace {
+
+/// An attempt may have been appended without an answer.
+bool leavesUnknown(const StoreError &error) {
+  const auto *fenced = std::get_if<StoreFenced>(&error);
+  const auto *mismatch = std::get_if<StoreOutOfSequence>(&error);
+  return std::holds_alternative<StoreOutcomeUnknown>(error) ||
+         (fenced && fenced->AfterUnknown) ||
+         (mismatch && mismatch->AfterUnknown);
+}
+
+} // namespace
+
 BatchAppender::BatchAppender(EventLoop &loop, StorePort &store, TopicId topic,
                              std::string producer, Epoch epoch,
                              AppenderOptions options)
@@ -77,7 +90,7 @@
   const StoreError &error = std::get<StoreError>(result);
   if (OnRetry)
     OnRetry(describe(error));
-  if (std::holds_alternative<StoreOutcomeUnknown>(error))
+  if (leavesUnknown(error))
     OutcomeUnknown = true;
   if (std::holds_alternative<StoreBusy>(error) && !OutcomeUnknown &&
       Options.RefusalTimeout.count() > 0 &&
--- a/packages/store/src/store_relay.cpp
+++ b/packages/store/src/store_relay.cpp
@@ -39,6 +39,17 @@
                      std::holds_alternative<StoreOutcomeUnknown>(*error));
 }
 
+/// `reply`, with a note that another attempt may have taken effect.
+StoreReply afterUnknown(StoreReply reply) {
+  if (auto *error = std::get_if<StoreError>(&reply)) {
+    if (auto *fenced = std::get_if<StoreFenced>(error))
+      fenced->AfterUnknown = true;
+    else if (auto *mismatch = std::get_if<StoreOutOfSequence>(error))
+      mismatch->AfterUnknown = true;
+  }
+  return reply;
+}
+
 template <typename T> StoreResult<T> resultOf(StoreReply reply) {
   if (auto *value = std::get_if<T>(&reply))
     return std::move(*value);
@@ -186,10 +197,9 @@
   const bool isRefusal =
       refusal && std::holds_alternative<StoreRefused>(*refusal);
   // Another attempt may have taken effect, or may still do so.
-  const bool isUncertain =
-      isRefusal && (call->OutcomeUnknown || call->InFlight > 0);
-  if (isDefinite(reply) && !isUncertain) {
-    finish(call, reply);
+  const bool anyUnknown = call->OutcomeUnknown || call->InFlight > 0;
+  if (isDefinite(reply) && !(isRefusal && anyUnknown)) {
+    finish(call, anyUnknown ? afterUnknown(reply) : reply);
     return;
   }
   const StoreError &error = std::get<StoreError>(reply);
--- a/packages/store/src/store_relay_codec.cpp
+++ b/packages/store/src/store_relay_codec.cpp
@@ -74,6 +74,7 @@
 void serialize(Archive &ar, StoreOutcomeUnknown &it) {
   ar(it.Reason);
 }
+// Peers make one attempt, so `AfterUnknown` is not sent.
 template <typename Archive> void serialize(Archive &, StoreFenced &) {}
 template <typename Archive>
 void serialize(Archive &ar, StoreOutOfSequence &it) {
--- a/packages/store/src/store_relay_test.cpp
+++ b/packages/store/src/store_relay_test.cpp
@@ -1,6 +1,7 @@
 // An entry VM that the store refuses makes its calls through a peer. It returns
 // StoreBusy, which means that the call had no effect, only if no path left the
 // outcome unknown.
+#include "citrongap/store/batch_appender.h"
 #include "citrongap/store/memory_store.h"
 #include "citrongap/store/store_relay.h"
 
@@ -98,6 +99,24 @@
   BOOST_TEST(Store.size(Jobs) == 1U);
 }
 
+// Guards against a fence that a peer reports while the direct attempt has no
+// answer: the record counted as not appended, but it is stored.
+BOOST_AUTO_TEST_CASE(fence_by_a_peer_is_not_definite_after_a_lost_answer) {
+  Refused.Faults.LoseAnswers = true;
+  BatchAppender appender(Loop, Relay, Jobs, "vm-1", Epoch(1),
+                         {Millis(80), Millis(5)});
+  std::optional<AppendOutcome> outcome;
+  appender.append({{"k", "v"}}, [&](AppendOutcome it) { outcome = it; });
+  BOOST_REQUIRE(Store.size(Jobs) == 1U);
+  Served.append(Jobs, {"vm-1", Epoch(2), 0}, {}, monoNow(),
+                [](const auto &) {});
+  for (int n = 0; n < 1000 && !outcome; ++n)
+    Loop.runUntil(monoNow() + Millis(2));
+  BOOST_REQUIRE(outcome);
+  BOOST_TEST((*outcome == AppendOutcome::Unknown));
+  BOOST_TEST(appender.fenced());
+}
+
 BOOST_AUTO_TEST_CASE(direct_path_is_used_again_when_it_works) {
   int changes = 0;
   Relay.OnRelaying = [&](bool, const std::string &) { ++changes; };
