Record a refusal for every submission of its key that the log has

Callers: a job that was told "not run", for instance cancelled, could be started by the next owner but one: an owner that had two submissions of a key recorded the refusal of one; the log went on to owe the other one, and a later owner took it up. It needs two changes of the owner within the job's deadline.

Cause: accepted jobs and refusals are of one submission, and an owner that takes a job up after another one has accepted it may know it by another submission.

Now "not run" of a job that is not fresh is told once it is recorded for each of its submissions that the log has. What the log owes of a key that is known here joins its submissions, or is recorded as refused if the key was refused already. Until the log names the owner, a refusal may still be told before that; it is recorded at the first look.

Ruled out: taking such a submission up here (the key is known, and the refused submissions are kept).

Tests: daemon_test, two new; on the old code "check site.Claims.Refused == site.Claims.Named has failed" and "check site.until([&] { return site.Claims.Refused.contains("one"); }) has failed".

--- a/packages/daemon/include/citrongap/daemon/pod_owner.h
+++ b/packages/daemon/include/citrongap/daemon/pod_owner.h
@@ -147,6 +147,8 @@
   void sendTo(const PodId &pod, const JobId &id);
   void recordAccepted(const JobId &id);
   void takeOwedJobs();
+  /// The log owes another submission of a key that is known here.
+  void joinOwed(OwnedJob &owned, const JobRequest &job);
   bool fenced() const;
   void startRun(OwnedJob &owned, const Placement &where);
   void onClaim(const JobId &id, const Placement &where,
@@ -170,6 +172,11 @@
   void onEndRecorded(const JobId &id, Recorded recorded);
   void recordEndsAgain(MonoTime now);
   void recordEnd(const JobId &id);
+  /// Records "not run" of each of these, submissions of the one key.
+  void recordRefusals(const std::vector<JobRequest> &submissions,
+                      const Outcome &refusal);
+  /// The submissions of a job for which the log may owe an outcome.
+  std::vector<JobRequest> submissionsInLog(const OwnedJob &owned) const;
   void tellFronts(const JobId &id);
   void tell(const JobId &id, const EntryVmId &front, bool final);
   void onAllTold(const JobId &id, bool final);
--- a/packages/daemon/src/pod_owner_ends.cpp
+++ b/packages/daemon/src/pod_owner_ends.cpp
@@ -125,6 +125,10 @@
   const bool unknown = std::holds_alternative<Unknown>(*owned.Ended);
   if (unknown || !inLog(owned))
     return;
+  if (std::holds_alternative<NotRun>(*owned.Ended)) {
+    recordRefusals(submissionsInLog(owned), Outcome(*owned.Ended));
+    return;
+  }
   std::optional<std::string> claim;
   if (owned.Claim)
     claim = owned.Claim->Claim;
@@ -136,6 +140,34 @@
       });
 }
 
+std::vector<JobRequest>
+PodOwner::submissionsInLog(const OwnedJob &owned) const {
+  std::vector<JobRequest> out{owned.Job};
+  // An earlier owner may have accepted another one.
+  for (const auto &it : owned.Submissions) {
+    JobRequest other = owned.Job;
+    other.SubmissionId = it;
+    if (it != owned.Job.SubmissionId && !owned.Fresh && Claims.names(other))
+      out.push_back(std::move(other));
+  }
+  return out;
+}
+
+void PodOwner::recordRefusals(const std::vector<JobRequest> &submissions,
+                              const Outcome &refusal) {
+  const auto open = std::make_shared<std::size_t>(submissions.size());
+  const auto all = std::make_shared<Recorded>(Recorded::Yes);
+  for (const auto &it : submissions)
+    Claims.ended(it, std::nullopt, refusal,
+                 [this, id = it.Id, open, all,
+                  epoch = std::weak_ptr<int>(Epoch)](Recorded recorded) {
+                   if (recorded != Recorded::Yes)
+                     *all = recorded;
+                   if (--*open == 0 && !epoch.expired())
+                     onEndRecorded(id, *all);
+                 });
+}
+
 void PodOwner::onEndRecorded(const JobId &id, Recorded recorded) {
   const auto it = Jobs.find(id);
   if (it == Jobs.end())
--- a/packages/daemon/src/pod_owner_jobs.cpp
+++ b/packages/daemon/src/pod_owner_jobs.cpp
@@ -163,15 +163,26 @@
 
 void PodOwner::takeOwedJobs() {
   for (const auto &job : Claims.owed()) {
-    const bool ours = !Jobs.contains(job.Id) && job.Deadline > wallNow() &&
-                      Broker.homeOf(job.Id) == Pod;
+    const bool ours = job.Deadline > wallNow() && Broker.homeOf(job.Id) == Pod;
     if (!ours)
       continue;
+    if (const auto known = Jobs.find(job.Id); known != Jobs.end()) {
+      joinOwed(known->second, job);
+      continue;
+    }
     LogLine("{} is owed an outcome by the log", job.Id.str());
     submit(job, {std::nullopt, false, true}, [](const JobView &) {});
   }
 }
 
+void PodOwner::joinOwed(OwnedJob &owned, const JobRequest &job) {
+  owned.Submissions.insert(job.SubmissionId);
+  const bool refused =
+      owned.Ended && std::holds_alternative<NotRun>(*owned.Ended);
+  if (refused)
+    Claims.ended(job, std::nullopt, *owned.Ended, [](Recorded) {});
+}
+
 bool PodOwner::fenced() const {
   return !Sessions.empty() && unreadyServers().empty();
 }
--- a/packages/daemon/src/pod_owner_test.cpp
+++ b/packages/daemon/src/pod_owner_test.cpp
@@ -50,8 +50,11 @@
                 std::function<void(Recorded)> callback) override {
     callback(Log);
   }
-  void ended(const JobRequest &, const std::optional<std::string> &,
-             const Outcome &, std::function<void(Recorded)> callback) override {
+  void ended(const JobRequest &job, const std::optional<std::string> &,
+             const Outcome &outcome,
+             std::function<void(Recorded)> callback) override {
+    if (std::holds_alternative<NotRun>(outcome))
+      Refused.insert(job.SubmissionId);
     if (HoldEnds)
       HeldEnds.push_back(std::move(callback));
     else
@@ -60,7 +63,9 @@
   std::optional<Outcome> outcomeOf(const JobId &) const override {
     return std::nullopt;
   }
-  bool names(const JobRequest &) const override { return false; }
+  bool names(const JobRequest &job) const override {
+    return Named.contains(job.SubmissionId);
+  }
   bool holds() const override { return Holds; }
   std::vector<JobRequest> owed() const override {
     return Holds ? Owed : std::vector<JobRequest>();
@@ -68,6 +73,9 @@
 
   ClaimAnswer Next = ClaimGranted{"claim", wallNow() + Seconds(10)};
   Recorded Log = Recorded::Yes;
+  /// Submissions that the log has, and those whose refusal it was given.
+  std::set<std::string> Named;
+  std::set<std::string> Refused;
   unsigned Claimed = 0;
   unsigned Releases = 0;
   /// The log names the owner.
@@ -535,6 +543,42 @@
   BOOST_CHECK(site.endedAs<Failed>(job));
 }
 
+// Only the refusal of one submission was recorded; the next owner found that
+// the log owed the other one, and started it.
+BOOST_AUTO_TEST_CASE(refusal_is_recorded_for_each_submission_that_the_log_has) {
+  Fixture site(1);
+  site.Servers.setRun(Seconds(60));
+  const auto first = Fixture::job("first", 8);
+  site.Owner->submit(first, {FrontA, false, false}, ignore);
+  BOOST_REQUIRE(
+      site.until([&] { return site.Servers.running(first.Id) == 1; }));
+  site.Claims.Named = {"one", "two"};
+  auto job = Fixture::job("k", 8);
+  for (const char *it : {"one", "two", "three"}) {
+    job.SubmissionId = it;
+    site.Owner->submit(job, {FrontA, false, true}, ignore);
+  }
+  site.Owner->cancel(job.Id, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.endedAs<NotRun>(job); }));
+  BOOST_CHECK(site.Claims.Refused == site.Claims.Named);
+}
+
+// The log owed a submission of a key that had been refused under another one;
+// the next owner started it.
+BOOST_AUTO_TEST_CASE(submission_that_the_log_owes_is_refused_with_its_key) {
+  Fixture site;
+  site.Claims.Holds = false;
+  site.Claims.Next = ClaimDenied{NotRun{"the log is away", 1000}};
+  auto job = Fixture::job("k", 1, false);
+  job.SubmissionId = "one";
+  site.Claims.Owed = {job};
+  job.SubmissionId = "two";
+  site.Owner->submit(job, {FrontA, false, true}, ignore);
+  BOOST_REQUIRE(site.until([&] { return site.endedAs<NotRun>(job); }));
+  site.Claims.Holds = true;
+  BOOST_TEST(site.until([&] { return site.Claims.Refused.contains("one"); }));
+}
+
 BOOST_AUTO_TEST_CASE(a_front_that_asks_while_a_refusal_is_recorded_is_told) {
   Fixture site;
   site.Claims.Next = ClaimDenied{NotRun{"the log is slow", 1000}};
