Tell callers that a job is done at its owner's first word

Cause: a front that asks while other fronts are being told gets a word that is not final. If the owner dies before the last word, the front takes the job for ended and asks no successor, and no successor knows that this front waits.

Only "not run" needs two rounds. Any other outcome is told as it comes.

Left: a front that has had the first word of a "not run" when the owner dies still answers "waiting"; it must not submit the job again.

Test: daemon_test, new; on the old code "critical check Answers.size() == 1U has failed".

--- a/packages/daemon/src/job_front.cpp
+++ b/packages/daemon/src/job_front.cpp
@@ -237,7 +237,8 @@
   if (it == Jobs.end() || it->second.Final || it->second.Pod != message.Pod)
     return;
   it->second.Ended = message.Ended;
-  if (message.Final)
+  // Only "not run" has a second round, which an owner that dies never sends.
+  if (message.Final || !std::holds_alternative<NotRun>(message.Ended))
     settle(message.Job, message.Ended);
 }
 
--- a/packages/daemon/src/job_front_test.cpp
+++ b/packages/daemon/src/job_front_test.cpp
@@ -158,6 +158,19 @@
   BOOST_TEST(Directory.Submitted.size() == 1U);
 }
 
+// An owner died between the first and the last word on a job that was done, and
+// its callers heard "waiting" for good.
+BOOST_FIXTURE_TEST_CASE(a_job_that_is_done_is_told_at_the_owners_first_word,
+                        Fixture) {
+  submit(job(), Millis(3000));
+  until([&] { return Directory.Submitted.size() == 1; });
+  end(Done{"x"}, false);
+  Directory.Owner = "vm-2@1";
+  Front.onOwnersChanged();
+  BOOST_REQUIRE(Answers.size() == 1U);
+  BOOST_CHECK(std::get<Outcome>(Answers[0]) == Outcome(Done{"x"}));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_refused_key_is_submitted_anew_by_its_next_caller,
                         Fixture) {
   submit(job(), Millis(3000));
