--- a/packages/control/src/server_answers_test.cpp
+++ b/packages/control/src/server_answers_test.cpp
@@ -82,4 +82,17 @@
   BOOST_TEST(mostRunsWithin(Millis(300)) == 1U);
 }
 
+// Guards against an answer that was overtaken by the one that told of the run's
+// end, and still lists the run.
+BOOST_AUTO_TEST_CASE(overtaken_answer_starts_no_task_that_is_done) {
+  startJob();
+  Fleet.at("i-1").AlsoListed = {{Task, 1, "", 1}};
+  Fleet.end("i-1", Task, RunOutcome::Done);
+  runFor(Millis(80));
+  Fleet.at("i-1").AlsoListed.clear();
+  runFor(Millis(200));
+  BOOST_TEST(Fleet.started() == 1U);
+  BOOST_TEST(state("vm-1") == "completed");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
