Take no other appender's number for an acknowledgement after refusals

What callers would see: none as long as the store keeps to its protocol, which answers a repeat of the last append with its first response. With a store that answers an old number with a mismatch, an owner whose first attempts were refused would have believed that a record is stored which is another one's.

Cause: after any second attempt, an expected number one above the batch's own counted as an acknowledgement of an earlier attempt, also when every attempt had been refused and so had no effect. The number was then used by another appender of the same name and epoch.

Ruled out: a lost acknowledgement.

Why it works: only an attempt without an answer can have used the number.

The test number_used_while_all_attempts_were_refused_is_another_s failed before: 'Appended == 0 has failed [1 != 0]', 'Failed == 1 has failed [0 != 1]'.

--- a/packages/store/src/batch_appender.cpp
+++ b/packages/store/src/batch_appender.cpp
@@ -108,10 +108,10 @@
     return;
   }
   if (const auto *mismatch = std::get_if<StoreOutOfSequence>(&error)) {
-    // After a retry, an expected number one above this batch's means that an
-    // earlier attempt was appended. Any other mismatch shows that another
+    // After an attempt without an answer, an expected number one above this
+    // batch's means that it was appended. Any other mismatch shows that another
     // producer uses this name and epoch.
-    if (Attempts > 1 && mismatch->Expected == Stamp.Sequence + 1)
+    if (OutcomeUnknown && mismatch->Expected == Stamp.Sequence + 1)
       finishBatch(AppendOutcome::Appended);
     else
       failAsFenced();
--- a/packages/store/src/batch_appender_test.cpp
+++ b/packages/store/src/batch_appender_test.cpp
@@ -4,7 +4,9 @@
 #include "citrongap/store/memory_store.h"
 
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <functional>
+#include <list>
 
 using namespace citrongap;
 
@@ -13,6 +15,25 @@
 const TopicId Jobs("keyed.jobs");
 constexpr AppenderOptions QuickOptions{Millis(30), Millis(5)};
 
+/// A view that gives the next answers to appends itself.
+struct ScriptedView : MemoryStoreView {
+  ScriptedView(EventLoop &loop, MemoryStore &store)
+      : MemoryStoreView(store), Loop(loop) {}
+
+  void append(const TopicId &, const AppendStamp &,
+              const std::vector<KeyedRecord> &, MonoTime,
+              StoreCallback<AppendAcknowledged> done) override {
+    BOOST_REQUIRE(!Answers.empty());
+    Posted.push_back(
+        Loop.at(monoNow(), [done, answer = Answers.front()] { done(answer); }));
+    Answers.pop_front();
+  }
+
+  EventLoop &Loop;
+  std::deque<StoreError> Answers;
+  std::list<Timer> Posted;
+};
+
 struct Fixture {
   EventLoop Loop;
   MemoryStore Store{Loop};
@@ -22,13 +43,23 @@
   int Failed = 0;
   int Unknown = 0;
 
-  void append(const std::string &key) {
-    Appender.append({{key, "v"}}, [this](AppendOutcome it) {
+  void append(const std::string &key) { append(Appender, key); }
+  void append(BatchAppender &appender, const std::string &key) {
+    appender.append({{key, "v"}}, [this](AppendOutcome it) {
       Appended += it == AppendOutcome::Appended ? 1 : 0;
       Failed += it == AppendOutcome::NotAppended ? 1 : 0;
       Unknown += it == AppendOutcome::Unknown ? 1 : 0;
     });
   }
+  /// The outcome of an append that the store answers so.
+  void appendWith(std::deque<StoreError> answers) {
+    ScriptedView view(Loop, Store);
+    view.Answers = std::move(answers);
+    BatchAppender appender(Loop, view, Jobs, "vm-4", Epoch(1), QuickOptions);
+    append(appender, "a");
+    runUntil([&] { return appender.idle(); });
+    BOOST_TEST(view.Answers.empty());
+  }
   void runFor(Millis span) { Loop.runUntil(monoNow() + span); }
   /// Runs the loop until `done`. Time in which the process was not scheduled
   /// does not count towards the limit.
@@ -167,4 +198,22 @@
   BOOST_TEST(Store.size(Jobs) == 2U);
 }
 
+// Guards against an appender whose attempts were only refused: it took another
+// one's use of its number for an acknowledgement.
+BOOST_AUTO_TEST_CASE(number_used_while_all_attempts_were_refused_is_another_s) {
+  appendWith({StoreBusy{503}, StoreOutOfSequence{1}});
+  BOOST_TEST(Appended == 0);
+  BOOST_TEST(Failed == 1);
+}
+
+BOOST_AUTO_TEST_CASE(number_used_by_an_unanswered_attempt_is_acknowledged) {
+  appendWith({StoreOutcomeUnknown{"lost"}, StoreOutOfSequence{1}});
+  BOOST_TEST(Appended == 1);
+}
+
+BOOST_AUTO_TEST_CASE(fence_after_an_unanswered_attempt_leaves_it_unknown) {
+  appendWith({StoreOutcomeUnknown{"lost"}, StoreBusy{503}, StoreFenced{}});
+  BOOST_TEST(Unknown == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
