End an owner's appender after an append of unknown outcome

What callers would see: a task that runs twice.

Cause: after such a batch, BatchAppender goes on in the next epoch, so that the next batch is not taken for a repeat. An owner whose deletion of ended jobs had this outcome went on, too, under an epoch that OwnerElection::nextEpoch() gives to this entry VM's next ownership in the same generation. That ownership began with number 0 in an epoch in which 0 was used: the store takes its first record for a repeat and acknowledges it. The owner sends starts that are not recorded.

Ruled out: an owner whose round had the unknown outcome. It steps down at once. An entry VM's own producer: its name has the incarnation in it.

Why it works: the owner's appender now ends like a fenced one. The owner steps down and takes over again, and the fence of the next epoch bars late attempts.

The test next_ownership_uses_no_epoch_of_an_earlier_appender failed before: the record was acknowledged, but 'Store.records(Jobs).back().Key == "c" has failed [b != c]'; further 'earlier.fenced() has failed', 'notAppended == 1 has failed [0 != 1]'. It passes now (5 of 5), as do the tests of packages/store and packages/control.

--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -60,10 +60,13 @@
   Planner = std::make_unique<PodPlanner>(Options.Planner);
   Planner->setGuarantees(Guarantees);
   Planner->setEvacuated(Evacuated);
-  Appender = std::make_unique<BatchAppender>(
-      Loop, Store, JobsTopic, OwnerProducer, epoch, Options.Appender);
+  // The next epoch is that of this entry VM's next ownership.
+  AppenderOptions appending = Options.Appender;
+  appending.EndsWhenUnknown = true;
+  Appender = std::make_unique<BatchAppender>(Loop, Store, JobsTopic,
+                                             OwnerProducer, epoch, appending);
   Appender->OnFenced = [this] {
-    stepDown("the store holds writes of a newer epoch");
+    stepDown("a newer epoch has written, or an append is of unknown outcome");
     if (OnFenced)
       OnFenced();
   };
--- a/packages/store/include/citrongap/store/batch_appender.h
+++ b/packages/store/include/citrongap/store/batch_appender.h
@@ -28,6 +28,9 @@
   /// Size, in bytes of keys and values, from which a batch takes no further
   /// append; below the store's limit of 2 MiB a call.
   std::size_t MaxBatchBytes = 1U << 20U;
+  /// After a batch of unknown outcome, the appender counts as fenced. Otherwise
+  /// it goes on in the next epoch, which nobody else may use then.
+  bool EndsWhenUnknown = false;
 };
 
 /// Whether the records of one append are in the store.
@@ -60,12 +63,13 @@
   bool idle() const { return !InFlight && Queue.empty(); }
   /// The batch in flight failed at least once and is being retried.
   bool isRetrying() const { return Attempts > 1; }
-  /// The store rejected this producer and epoch; every further append fails.
+  /// The store rejected this producer and epoch, or the appender has ended (see
+  /// AppenderOptions); every further append fails.
   bool fenced() const { return Fenced; }
   /// Offset after the latest acknowledged batch.
   LogOffset end() const { return End; }
   /// Called once when a newer epoch or another producer of the same name has
-  /// written.
+  /// written, or when the appender has ended.
   std::function<void()> OnFenced;
   /// Called with the reason each time an attempt fails.
   std::function<void(const std::string &reason)> OnRetry;
@@ -86,7 +90,7 @@
   void finishBatch(AppendOutcome outcome);
   void failAll();
   /// Marks the appender as fenced and fails all appends: another producer has
-  /// used this name with this epoch or a newer one.
+  /// used this name with this epoch or a newer one, or the appender ends.
   void failAsFenced();
 
   EventLoop &Loop;
--- a/packages/store/src/batch_appender.cpp
+++ b/packages/store/src/batch_appender.cpp
@@ -129,6 +129,10 @@
 }
 
 void BatchAppender::failBatch() {
+  if (OutcomeUnknown && Options.EndsWhenUnknown) {
+    failAsFenced();
+    return;
+  }
   finishBatch(OutcomeUnknown ? AppendOutcome::Unknown
                              : AppendOutcome::NotAppended);
 }
--- a/packages/store/src/owner_election_test.cpp
+++ b/packages/store/src/owner_election_test.cpp
@@ -1,5 +1,6 @@
 // At most one member of a group owns the topic, and a member that can't reach
 // the store ceases to own it.
+#include "citrongap/store/batch_appender.h"
 #include "citrongap/store/memory_store.h"
 #include "citrongap/store/owner_election.h"
 
@@ -107,6 +108,50 @@
   BOOST_TEST(First.isOwner());
 }
 
+// Guards against an owner's appender that goes on in the epoch of the same
+// member's next ownership: the first record of that one is taken for a repeat
+// and is not stored, though it is acknowledged.
+BOOST_AUTO_TEST_CASE(next_ownership_uses_no_epoch_of_an_earlier_appender) {
+  First.start();
+  runFor(Millis(40));
+  BOOST_REQUIRE(First.isOwner());
+  const AppenderOptions options{.AnswerTimeout = Millis(20),
+                                .RetryDelay = Millis(5),
+                                .EndsWhenUnknown = true};
+  BatchAppender earlier(Loop, FirstView, Jobs, "owner", First.nextEpoch(),
+                        options);
+  int unknown = 0;
+  int notAppended = 0;
+  FirstView.Faults.Silent = true;
+  earlier.append({{"a", "1"}}, [&](AppendOutcome it) {
+    unknown += it == AppendOutcome::Unknown ? 1 : 0;
+    FirstView.Faults = {};
+  });
+  earlier.append({{"b", "1"}}, [&](AppendOutcome it) {
+    notAppended += it == AppendOutcome::NotAppended ? 1 : 0;
+  });
+  FirstView.Faults = {};
+  FirstView.Faults.RefuseWith = 400;
+  for (int n = 0; n < 1000 && !earlier.idle(); ++n)
+    runFor(Millis(2));
+  BOOST_TEST(unknown == 1);
+  runFor(Millis(40));
+  BatchAppender next(Loop, FirstView, Jobs, "owner", First.nextEpoch(),
+                     options);
+  bool appended = false;
+  next.append({}, nullptr);
+  next.append({{"c", "1"}}, [&](AppendOutcome it) {
+    appended = it == AppendOutcome::Appended;
+  });
+  for (int n = 0; n < 1000 && !next.idle(); ++n)
+    runFor(Millis(2));
+  BOOST_TEST(appended);
+  BOOST_REQUIRE(!Store.records(Jobs).empty());
+  BOOST_TEST(Store.records(Jobs).back().Key == "c");
+  BOOST_TEST(earlier.fenced());
+  BOOST_TEST(notAppended == 1);
+}
+
 BOOST_AUTO_TEST_CASE(standby_member_joins_only_when_the_topic_has_no_owner) {
   ElectionOptions options = QuickOptions;
   options.Standby = true;
