Count a job as waiting until a server is known to have started it

Callers were told that a job runs, and `waiting` did not count it, from the moment at which its runs were placed. On servers that were cut off no start was answered for up to 25 s. A job whose starts were all returned was told to run as well, while nothing was placed.

Cause: PodPlanner::start() set the phase, which is recorded before the start is sent, and nothing took it back.

The phase now stays Queued until a server confirms a start or lists a run or the end of a run, be it the current run or an earlier one. That is recorded by the first round 100 ms later, or with an earlier change of the job; one append takes all jobs that began meanwhile. After a take-over the servers' lists tell it, and unacknowledged ends are listed again, so an owner that dies in between loses only a run that is lost with its server. A job never goes back to Queued after it has begun. The format of the record is as before. An entry VM holds a query for a job that may end until the end can be read; it now knows such a job by the servers in its record, else callers of jobs that end soon would be answered "queued" at once.

Ruled out: to record Running with the placement and take it back after about a second without a confirmation.

Before, with the phase set in start() and no report taken as a begin: job_begin/placed_job_is_queued_until_a_start_is_confirmed: check (phase("a") == WorkPhase::Queued) has failed waiting_jobs/job_without_an_answered_start_is_waiting: check waiting(vm).value_or(99) == jobs has failed [0 != 1], and state(vm) == jobState has failed [running != queued] as 7 of 8 in job_begin (begun_job_stays_so_while_it_waits_for_another_run guards the opposite and held) and 5 of 5 in waiting_jobs_test. Without the change of the front: query_at_the_end_of_an_unrecorded_run_waits_for_it: [queued != completed]

--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -32,6 +32,8 @@
   std::optional<WorkSpec> Spec;
   WorkPhase Phase = WorkPhase::Queued;
   std::int64_t EndedAtMs = 0;
+  /// See WorkSummary.
+  bool WasPlaced = false;
   bool CancelRequested = false;
   /// Newest record of its state as stored; empty before the first.
   std::string State;
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -113,6 +113,7 @@
       out.Controller.Appender = out.Appender;
       out.Controller.TickInterval = Millis(10);
       out.Controller.ServerListInterval = Millis(20);
+      out.Controller.Planner.BeginRecordDelay = site.BeginRecordDelay;
       out.Controller.OwnershipTimeout = Millis(150);
       out.Controller.ReportTimeout = site.ReportTimeout;
       out.Controller.MaxReadGap = site.MaxReadGap;
@@ -132,6 +133,8 @@
   std::map<std::string, std::unique_ptr<Vm>> Vms;
   /// Longest lease that the entry VMs request.
   Millis MaxLease;
+  /// The owner records that a job has begun after this time.
+  Millis BeginRecordDelay;
   /// For entry VMs that are added later.
   Millis MaxClockAge{10000};
   /// Silence after which a server's entry is removed, for entry VMs that are
@@ -144,7 +147,9 @@
   /// Entry VMs that are added later get no pages of more than this many bytes.
   std::size_t LatestValuesLimit = 1U << 20U;
 
-  explicit EntrySite(Millis maxLease = Millis(300)) : MaxLease(maxLease) {
+  explicit EntrySite(Millis maxLease = Millis(300),
+                     Millis beginRecordDelay = Millis(10))
+      : MaxLease(maxLease), BeginRecordDelay(beginRecordDelay) {
     Store.put(Configuration, {"config", "1"});
     Store.put(Servers, {"i-1", "ready"});
     add("vm-1");
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -200,20 +200,21 @@
 void RequestFront::answerWhenCurrent(const WorkId &id,
                                      std::function<void()> answer) {
   const RegistryEntry *entry = Registry.find(id);
-  const bool running = entry && entry->Phase == WorkPhase::Running;
+  const bool mayEnd =
+      entry && (entry->Phase == WorkPhase::Running || entry->WasPlaced);
   const bool stale =
       JobsReader.pausing() && !isCurrent(JobsReader, Options.MaxRegistryAge);
   const bool reachable = isCurrent(ConfigurationReader, Options.MaxReadAge);
-  if ((entry && ended(entry->Phase)) || !reachable || (!running && !stale)) {
+  if ((entry && ended(entry->Phase)) || !reachable || (!mayEnd && !stale)) {
     answer();
     return;
   }
   const MonoTime now = monoNow();
   DeferredQueries.push_back(
-      {id, running,
-       now + (running ? Options.EndWaitTimeout : Options.RefreshTimeout),
+      {id, mayEnd,
+       now + (mayEnd ? Options.EndWaitTimeout : Options.RefreshTimeout),
        std::move(answer)});
-  if (!running)
+  if (!mayEnd)
     JobsReader.readNow();
   else
     scheduleJobsRead(Options.EndReadDelay);
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -51,6 +51,7 @@
   const auto state = decodeWorkSummary(*record.Value);
   if (const auto *decoded = std::get_if<WorkSummary>(&state)) {
     entry.Phase = decoded->Phase;
+    entry.WasPlaced = decoded->WasPlaced;
     entry.EndedAtMs = decoded->EndedAtMs;
     entry.State = *record.Value;
   } else {
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -137,6 +137,10 @@
   /// A gang start that is not confirmed within this time is abandoned. Less
   /// than the time after which members of an incomplete gang end on their own.
   Millis GangConfirmTimeout{2000};
+  /// That a job has begun is recorded by the first round after this time, or
+  /// with an earlier change of the job. Callers may be told 2 s late, and the
+  /// other entry VMs read the records every 250 ms.
+  Millis BeginRecordDelay{100};
 };
 
 /// A job in the planner; `Record` is the state to be written to the store.
@@ -184,7 +188,8 @@
   void cancel(const WorkId &id, std::int64_t wallMs);
 
   // Reports of backend servers about runs. A report is ignored unless it is
-  // about the current run of a task and comes from the server of that run.
+  // about the current run of a task and comes from the server of that run;
+  // but any run that a server has or had shows that its job has begun.
   void recordStart(const TaskName &task, std::uint32_t run,
                    const ServerIncarnation &server, MonoTime now);
   void recordStartRefusal(const TaskName &task, std::uint32_t run,
@@ -233,6 +238,8 @@
 private:
   struct Unit;
   struct PreemptionCandidate;
+  /// A server has or had a run of the job.
+  void recordBegin(const WorkId &id, MonoTime now);
   /// The run was the task's last one and was released, after its lease or from
   /// a list without it; no other has been placed.
   bool isReleasedRun(const TaskName &task, std::uint32_t run,
@@ -352,6 +359,9 @@
   Releases ExpectedReleases;
   MonoTime ReleasesComputedAt;
   std::set<WorkId> Changed;
+  /// Jobs that have begun since their last record, with the time from which a
+  /// round records that.
+  std::map<WorkId, MonoTime> UnrecordedBegins;
   /// Returned by the next round.
   std::vector<StopOrder> PendingStops;
 };
--- a/packages/workload/include/citrongap/workload/work_state.h
+++ b/packages/workload/include/citrongap/workload/work_state.h
@@ -14,6 +14,8 @@
 namespace citrongap {
 
 enum class WorkPhase : std::uint8_t {
+  /// No server is known to have started a run of the job, though runs may be
+  /// placed.
   Queued,
   Running,
   Completed,
@@ -88,6 +90,8 @@
 struct WorkSummary {
   WorkPhase Phase = WorkPhase::Queued;
   std::int64_t EndedAtMs = 0;
+  /// Unless the job has ended: a run of it has been placed.
+  bool WasPlaced = false;
 };
 
 struct WorkRecord {
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -176,6 +176,8 @@
 }
 
 std::set<WorkId> PodPlanner::takeChangedWork() {
+  std::erase_if(UnrecordedBegins,
+                [this](const auto &it) { return Changed.contains(it.first); });
   return std::exchange(Changed, {});
 }
 
--- a/packages/workload/src/pod_planner_reports.cpp
+++ b/packages/workload/src/pod_planner_reports.cpp
@@ -3,10 +3,21 @@
 
 namespace citrongap {
 
+void PodPlanner::recordBegin(const WorkId &id, MonoTime now) {
+  const auto it = Works.find(id);
+  if (it == Works.end() || it->second.Record.Phase != WorkPhase::Queued)
+    return;
+  it->second.Record.Phase = WorkPhase::Running;
+  UnrecordedBegins.emplace(id, now + Options.BeginRecordDelay);
+}
+
 void PodPlanner::recordStart(const TaskName &task, std::uint32_t run,
                              const ServerIncarnation &server, MonoTime now) {
   TaskRecord *record = findCurrentRun(task, run, server);
-  if (!record || record->Confirmed)
+  if (record && record->Confirmed)
+    return;
+  recordBegin(task.Work, now);
+  if (!record)
     return;
   record->Confirmed = true;
   record->ProgressAt = now;
@@ -43,10 +54,10 @@
 void PodPlanner::recordProgress(const TaskName &task, std::uint32_t run,
                                 const ServerIncarnation &server, int percent,
                                 MonoTime now) {
+  recordStart(task, run, server, now);
   TaskRecord *record = findCurrentRun(task, run, server);
   if (!record)
     return;
-  recordStart(task, run, server, now);
   record->ListedAt = now;
   if (percent == record->Percent) {
     if (!record->StopRequested && isStalled(*record, specOf(task), now))
@@ -65,6 +76,7 @@
                               const ServerIncarnation &server,
                               RunOutcome outcome, const std::string &checkpoint,
                               MonoTime now, std::int64_t wallMs) {
+  recordBegin(task.Work, now);
   TaskRecord *record = findCurrentRun(task, run, server);
   if (!record) {
     if (outcome == RunOutcome::Done && isReleasedRun(task, run, server))
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -329,13 +329,14 @@
                             checkpoint, unit.Rank, now - task.WaitingSince,
                             local, unit.ExpectedLate});
   }
-  if (work.Record.Phase == WorkPhase::Queued)
-    work.Record.Phase = WorkPhase::Running;
   Changed.insert(unit.Work);
 }
 
 PlannedRound PodPlanner::plan(MonoTime now, std::int64_t wallMs) {
   PlannedRound round;
+  for (const auto &[id, recordFrom] : UnrecordedBegins)
+    if (now >= recordFrom)
+      Changed.insert(id);
   std::erase_if(UrgentArrivals, [&](const auto &it) {
     return now - it.first >= Options.ArrivalWindow;
   });
--- a/packages/workload/src/work_codec.cpp
+++ b/packages/workload/src/work_codec.cpp
@@ -210,6 +210,8 @@
   WorkSummary head;
   if (!readHead(in, head))
     return unreadable("is malformed");
+  // The number of servers that are or were assigned a run.
+  head.WasPlaced = in.readVarint() > 0;
   return head;
 }
 
