Leave a job alone whose state can't be read, as it is written

What callers would see: after a return to an earlier build (or with a damaged record), a job that has ended runs again under the next owner. docs/OPERATIONS.md says that such a job is left alone rather than run twice.

Cause: the registry logged unreadable_state and kept the state before, or none. The owner checks the record that the registry kept, so it never saw the one that it can't read, and went on from the one before; after a load, from nothing.

Evidence: job_of_an_unreadable_state_is_not_started_again failed before in 3 of 3 runs: 'Fleet.started() == 1U has failed [2 != 1]'. It passes now, 3 of 3.

Why it works: the owner gets the newest record, can't decode it, and leaves the job out.

--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -35,7 +35,8 @@
   /// See WorkSummary.
   bool WasPlaced = false;
   bool CancelRequested = false;
-  /// Newest record of its state as stored; empty before the first.
+  /// Newest record of its state as stored, readable or not; empty before the
+  /// first.
   std::string State;
   /// The latest load has not found it: it was deleted, or its submission
   /// follows in order.
--- a/packages/control/src/job_load_test.cpp
+++ b/packages/control/src/job_load_test.cpp
@@ -134,4 +134,24 @@
   BOOST_TEST(Fleet.started() == 1U);
 }
 
+// Guards against a state that this build can't read: a job that had ended by a
+// later build's record was started again from the state before it.
+BOOST_AUTO_TEST_CASE(job_of_an_unreadable_state_is_not_started_again) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.started() == 1U);
+  Fleet.end("i-1", Fleet.anyRun().second, RunOutcome::Done);
+  runFor(Millis(60));
+  BOOST_REQUIRE(state("vm-1") == "completed");
+  const std::string laterFormat = "\x7f";
+  Store.put(Jobs, {stateKey(Job), laterFormat});
+  Store.put(Servers, {"i-2", "ready"});
+  add("vm-3");
+  runFor(Millis(600));
+  kill("vm-1");
+  kill("vm-2");
+  runFor(Millis(1500));
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -48,12 +48,14 @@
   }
   if (kind != 's')
     return;
+  // Kept even if it can't be read, so that no owner goes on from the one
+  // before.
+  entry.State = *record.Value;
   const auto state = decodeWorkSummary(*record.Value);
   if (const auto *decoded = std::get_if<WorkSummary>(&state)) {
     entry.Phase = decoded->Phase;
     entry.WasPlaced = decoded->WasPlaced;
     entry.EndedAtMs = decoded->EndedAtMs;
-    entry.State = *record.Value;
   } else {
     Log("board", "unreadable_state", "request={} why=\"{}\"", id.str(),
         std::get<Findings>(state).text());
