Remove only what a deleted key of a job holds

What callers would see: a completed job starts again, or a job is cancelled that nobody cancelled.

A load may be ahead of some keys of a job, whose records are then not delivered again. The removal of the submission dropped all parts of the job: also a state that had been loaded of the new submission. And when the new submission had been loaded, the removal of the old one was skipped, and with it that of the old cancellation.

Why it works: each key removes its own part, as the reader skips by key. Owners now delete the submission first, so that a read that ends between the three does not show the job as queued.

The tests failed before: state_loaded_of_a_new_life_outlives_the_old_submission, 'registry.find(Job)->Phase == WorkPhase::Completed has failed'; cancellation_of_an_old_life_does_not_cancel_the_new_one, '!registry.find(Job)->CancelRequested has failed'.

--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -73,6 +73,10 @@
   std::function<void(const EntryVmId &id, const std::string &at)> OnHolder;
 
 private:
+  /// Removes the part of the job that a key of this kind holds. The records of
+  /// one key say nothing of the others: a load may be ahead of some keys only.
+  void remove(char kind, const WorkId &id);
+
   EventLog &Log;
   std::map<WorkId, RegistryEntry> Entries;
 };
--- a/packages/control/src/job_load_test.cpp
+++ b/packages/control/src/job_load_test.cpp
@@ -134,4 +134,35 @@
   BOOST_TEST(Fleet.started() == 1U);
 }
 
+// Guards against an id that is deleted and submitted again during a load: its
+// new state was loaded and is not delivered again, and the removal of its old
+// submission, which is, dropped it.
+BOOST_AUTO_TEST_CASE(state_loaded_of_a_new_life_outlives_the_old_submission) {
+  WorkRegistry registry(Log);
+  WorkSpec spec;
+  spec.Id = Job;
+  WorkRecord record;
+  record.Phase = WorkPhase::Completed;
+  registry.apply({specKey(Job), encode(spec)});
+  registry.apply({stateKey(Job), encode(record)});
+  registry.apply({cancelKey(Job), std::nullopt});
+  registry.apply({specKey(Job), std::nullopt});
+  registry.apply({specKey(Job), encode(spec)});
+  BOOST_REQUIRE(registry.find(Job));
+  BOOST_TEST((registry.find(Job)->Phase == WorkPhase::Completed));
+}
+
+// The same, with a new submission that was loaded and an old cancellation.
+BOOST_AUTO_TEST_CASE(cancellation_of_an_old_life_does_not_cancel_the_new_one) {
+  WorkRegistry registry(Log);
+  WorkSpec spec;
+  spec.Id = Job;
+  registry.apply({cancelKey(Job), "1"});
+  registry.apply({specKey(Job), encode(spec)});
+  registry.apply({cancelKey(Job), std::nullopt});
+  registry.apply({stateKey(Job), std::nullopt});
+  BOOST_REQUIRE(registry.find(Job));
+  BOOST_TEST(!registry.find(Job)->CancelRequested);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -308,9 +308,10 @@
       break;
     if (!ended(entry.Phase) || entry.EndedAtMs > before || Planner->find(id))
       continue;
-    tombstones.push_back({cancelKey(id), std::nullopt});
-    tombstones.push_back({stateKey(id), std::nullopt});
+    // First the submission: without its state, the job would count as queued.
     tombstones.push_back({specKey(id), std::nullopt});
+    tombstones.push_back({stateKey(id), std::nullopt});
+    tombstones.push_back({cancelKey(id), std::nullopt});
   }
   if (!tombstones.empty())
     Appender->append(std::move(tombstones), nullptr);
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -27,8 +27,7 @@
   }
   const WorkId id(record.Key.substr(2));
   if (!record.Value) {
-    if (kind == 'j')
-      Entries.erase(id);
+    remove(kind, id);
     return;
   }
   if (kind == 'j') {
@@ -59,6 +58,24 @@
   }
 }
 
+void WorkRegistry::remove(char kind, const WorkId &id) {
+  const auto found = Entries.find(id);
+  if (found == Entries.end())
+    return;
+  RegistryEntry &entry = found->second;
+  if (kind == 'j') {
+    entry.Spec.reset();
+  } else if (kind == 'c') {
+    entry.CancelRequested = false;
+  } else if (kind == 's') {
+    entry.Phase = WorkPhase::Queued;
+    entry.EndedAtMs = 0;
+    entry.State.clear();
+  }
+  if (!entry.Spec && !entry.CancelRequested && entry.State.empty())
+    Entries.erase(found);
+}
+
 void WorkRegistry::applySpec(WorkSpec spec) {
   RegistryEntry &entry = Entries[spec.Id];
   const bool wasUnfound = std::exchange(entry.Unfound, false);
