--- a/packages/control/include/citrongap/control/fleet_port.h
+++ b/packages/control/include/citrongap/control/fleet_port.h
@@ -43,7 +43,11 @@
   /// Start time of the incarnation that answered, in wall-clock milliseconds.
   std::optional<std::int64_t> StartedAtMs;
   std::vector<ListedRun> Running;
+  /// In ascending order of the numbers.
   std::vector<RunEndReport> Ended;
+  /// The server may hold later run ends that are not among `Ended`. A run in
+  /// neither list may then have ended.
+  bool MoreEnds = false;
 };
 
 /// The server accepted the order, now or on an earlier attempt.
@@ -80,7 +84,7 @@
   /// New lease end of all runs on the server; no lease is renewed when absent.
   std::optional<ServerClockMs> LeaseUntil;
   /// The owner has recorded the run ends up to this number; the server may
-  /// discard them.
+  /// discard them. 0 acknowledges none.
   std::uint64_t AcknowledgedUpTo = 0;
   /// The server answers after this time at the latest, or when a run ends.
   Millis Wait{0};
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -43,8 +43,10 @@
     onServersLoaded(keys);
   };
   ServersReader.OnHealth = [this](bool works, const std::string &reason) {
-    if (!works)
+    if (!works) {
       ReportedAfter.clear();
+      ServersReadFailed = true;
+    }
     Log("store", works ? "regained" : "lost",
         "topic=servers list_age_ms={} why=\"{}\"", listAge().count(), reason);
   };
@@ -130,6 +132,8 @@
   EndedIncarnations.clear();
   ReplacedByEarlier.clear();
   LateLeaseEnds.clear();
+  StartsOfDroppedLinks.clear();
+  DroppedLinks.clear();
   UnreadEnds.clear();
   // Callbacks of the appender and the links may be on the stack.
   RoundTimer = Loop.at(monoNow(), [this] { runRound(); });
@@ -158,7 +162,8 @@
 
 void PodController::loadJob(const WorkId &id) {
   const RegistryEntry *entry = Registry.find(id);
-  if (!entry || UnreadEnds.contains(id))
+  // An unfound job is loaded once its submission is read.
+  if (!entry || entry->Unfound || UnreadEnds.contains(id))
     return;
   if (!Planner->find(id)) {
     WorkRecord record;
--- a/packages/workload/src/earlier_run_test.cpp
+++ b/packages/workload/src/earlier_run_test.cpp
@@ -103,4 +103,47 @@
   BOOST_TEST((next.phase("a") == WorkPhase::Completed));
 }
 
+// Guards against a job that stays running for good: the stop of a start that
+// was never sent is reported between plan() and takeChangedWork().
+BOOST_AUTO_TEST_CASE(job_completes_when_the_later_start_was_never_sent) {
+  addServers(2);
+  submit(job("a", 1, 1, false));
+  const PlannedRound first = plan();
+  Planner.expireLeases(first.Starts[0].Server, Now);
+  const PlannedRound second = plan();
+  BOOST_REQUIRE(second.Starts.size() == 1U);
+  const StartOrder &later = second.Starts[0];
+  end(first.Starts[0], RunOutcome::Done);
+  BOOST_REQUIRE(plan().Stops.size() == 1U);
+  Planner.recordMissingRun(later.Task, later.Run, later.Server, Now);
+  const auto record =
+      decodeWorkRecord(encode(Planner.find(WorkId("a"))->Record));
+  Planner.takeChangedWork();
+  planAfter(Seconds(1));
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+  // A next owner finds all tasks done and the job running.
+  PlannerFixture next;
+  next.addServers(2);
+  next.Planner.addWork(job("a", 1, 1, false), std::get<WorkRecord>(record),
+                       next.Now);
+  next.plan();
+  BOOST_TEST((next.phase("a") == WorkPhase::Completed));
+}
+
+// Guards against a start of a task whose released run was started late by the
+// server's next life and has ended there as done.
+BOOST_AUTO_TEST_CASE(done_of_a_released_run_on_the_servers_next_life_counts) {
+  addServers(1);
+  submit(job("a", 1, 1, false));
+  const PlannedRound first = plan();
+  BOOST_REQUIRE(first.Starts.size() == 1U);
+  Planner.removeIncarnation(incarnation(0), Now);
+  addServers(1, 2);
+  StartOrder late = first.Starts[0];
+  late.Server = incarnation(0, 2);
+  end(late, RunOutcome::Done);
+  BOOST_TEST(planAfter(Seconds(1)).Starts.empty());
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -230,6 +230,11 @@
          record->Server == server;
 }
 
+bool PodPlanner::isOtherRun(const TaskName &task, std::uint32_t run) const {
+  const TaskRecord *record = findTask(task);
+  return record && record->Stage != TaskStage::Done && record->Run >= run;
+}
+
 const TaskRecord *PodPlanner::findTask(const TaskName &task) const {
   const auto it = Works.find(task.Work);
   if (it == Works.end())
@@ -336,10 +341,9 @@
   finish(id, work, WorkPhase::Completed, wallMs);
 }
 
-void PodPlanner::completeChangedWork(std::int64_t wallMs) {
-  for (const WorkId &it : Changed)
-    if (const auto work = Works.find(it); work != Works.end())
-      completeIfDone(it, work->second, wallMs);
+void PodPlanner::completeDoneWork(std::int64_t wallMs) {
+  for (auto &[id, work] : Works)
+    completeIfDone(id, work, wallMs);
 }
 
 } // namespace citrongap
