--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -32,8 +32,11 @@
   std::optional<WorkSpec> Spec;
   WorkPhase Phase = WorkPhase::Queued;
   std::int64_t EndedAtMs = 0;
+  /// See WorkSummary.
+  bool WasPlaced = false;
   bool CancelRequested = false;
-  /// Newest record of its state as stored; empty before the first.
+  /// Newest record of its state as stored, readable or not; empty before the
+  /// first.
   std::string State;
   /// The latest load has not found it: it was deleted, or its submission
   /// follows in order.
@@ -73,6 +76,10 @@
   std::function<void(const EntryVmId &id, const std::string &at)> OnHolder;
 
 private:
+  /// Removes the part of the job that a key of this kind holds. The records of
+  /// one key say nothing of the others: a load may be ahead of some keys only.
+  void remove(char kind, const WorkId &id);
+
   EventLog &Log;
   std::map<WorkId, RegistryEntry> Entries;
 };
--- a/packages/control/src/job_load_test.cpp
+++ b/packages/control/src/job_load_test.cpp
@@ -134,4 +134,55 @@
   BOOST_TEST(Fleet.started() == 1U);
 }
 
+// Guards against a state that this build can't read: a job that had ended by a
+// later build's record was started again from the state before it.
+BOOST_AUTO_TEST_CASE(job_of_an_unreadable_state_is_not_started_again) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.started() == 1U);
+  Fleet.end("i-1", Fleet.anyRun().second, RunOutcome::Done);
+  runFor(Millis(60));
+  BOOST_REQUIRE(state("vm-1") == "completed");
+  const std::string laterFormat = "\x7f";
+  Store.put(Jobs, {stateKey(Job), laterFormat});
+  Store.put(Servers, {"i-2", "ready"});
+  add("vm-3");
+  runFor(Millis(600));
+  kill("vm-1");
+  kill("vm-2");
+  runFor(Millis(1500));
+  BOOST_TEST(Fleet.started() == 1U);
+}
+
+// Guards against an id that is deleted and submitted again during a load: its
+// new state was loaded and is not delivered again, and the removal of its old
+// submission, which is, dropped it.
+BOOST_AUTO_TEST_CASE(state_loaded_of_a_new_life_outlives_the_old_submission) {
+  WorkRegistry registry(Log);
+  WorkSpec spec;
+  spec.Id = Job;
+  WorkRecord record;
+  record.Phase = WorkPhase::Completed;
+  registry.apply({specKey(Job), encode(spec)});
+  registry.apply({stateKey(Job), encode(record)});
+  registry.apply({cancelKey(Job), std::nullopt});
+  registry.apply({specKey(Job), std::nullopt});
+  registry.apply({specKey(Job), encode(spec)});
+  BOOST_REQUIRE(registry.find(Job));
+  BOOST_TEST((registry.find(Job)->Phase == WorkPhase::Completed));
+}
+
+// The same, with a new submission that was loaded and an old cancellation.
+BOOST_AUTO_TEST_CASE(cancellation_of_an_old_life_does_not_cancel_the_new_one) {
+  WorkRegistry registry(Log);
+  WorkSpec spec;
+  spec.Id = Job;
+  registry.apply({cancelKey(Job), "1"});
+  registry.apply({specKey(Job), encode(spec)});
+  registry.apply({cancelKey(Job), std::nullopt});
+  registry.apply({stateKey(Job), std::nullopt});
+  BOOST_REQUIRE(registry.find(Job));
+  BOOST_TEST(!registry.find(Job)->CancelRequested);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -27,8 +27,7 @@
   }
   const WorkId id(record.Key.substr(2));
   if (!record.Value) {
-    if (kind == 'j')
-      Entries.erase(id);
+    remove(kind, id);
     return;
   }
   if (kind == 'j') {
@@ -48,17 +47,39 @@
   }
   if (kind != 's')
     return;
+  // Kept even if it can't be read, so that no owner goes on from the one
+  // before.
+  entry.State = *record.Value;
   const auto state = decodeWorkSummary(*record.Value);
   if (const auto *decoded = std::get_if<WorkSummary>(&state)) {
     entry.Phase = decoded->Phase;
+    entry.WasPlaced = decoded->WasPlaced;
     entry.EndedAtMs = decoded->EndedAtMs;
-    entry.State = *record.Value;
   } else {
     Log("board", "unreadable_state", "request={} why=\"{}\"", id.str(),
         std::get<Findings>(state).text());
   }
 }
 
+void WorkRegistry::remove(char kind, const WorkId &id) {
+  const auto found = Entries.find(id);
+  if (found == Entries.end())
+    return;
+  RegistryEntry &entry = found->second;
+  if (kind == 'j') {
+    entry.Spec.reset();
+  } else if (kind == 'c') {
+    entry.CancelRequested = false;
+  } else if (kind == 's') {
+    entry.Phase = WorkPhase::Queued;
+    entry.WasPlaced = false;
+    entry.EndedAtMs = 0;
+    entry.State.clear();
+  }
+  if (!entry.Spec && !entry.CancelRequested && entry.State.empty())
+    Entries.erase(found);
+}
+
 void WorkRegistry::applySpec(WorkSpec spec) {
   RegistryEntry &entry = Entries[spec.Id];
   const bool wasUnfound = std::exchange(entry.Unfound, false);
