--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -610,4 +610,5 @@
         finally:
             site.stop()
     code = asyncio.run(go())
+    sys.stdout.flush()
     os._exit(code)
