--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -63,11 +63,19 @@
         self.handle = handle
 
     async def listen(self, ip, port=0):
+        self.writers = set()
         self.server = await asyncio.start_server(self.serve, ip, port, limit=1 << 24)
         return self.server.sockets[0].getsockname()[1]
 
+    def reset(self):
+        """As when the process ends: no listener, all channels are reset."""
+        self.server.close()
+        for it in list(self.writers):
+            it.transport.abort()
+
     async def serve(self, reader, writer):
         peer = writer.get_extra_info("peername")[0]
+        self.writers.add(writer)
         try:
             while True:
                 line, headers, body = await read_message(reader)
@@ -84,6 +92,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
@@ -324,8 +333,34 @@
 
     async def run(self, ip):
         self.address = f"{ip}:{await self.http.listen(ip)}"
-        asyncio.ensure_future(self.beat())
-        asyncio.ensure_future(self.tick())
+        self.tasks = [asyncio.ensure_future(self.beat()), asyncio.ensure_future(self.tick())]
+
+    def crash(self):
+        """It sends nothing more; its entry is removed after three intervals of silence."""
+        self.record(f"worker {self.name} crashes")
+        self.http.reset()
+        for it in self.tasks:
+            it.cancel()
+        for task, run in self.runs.items():
+            self.log.append((now(), "end", task, run["run"], "gone"))
+        silent_from = self.sequence
+
+        async def expire():
+            await asyncio.sleep(3 * HEARTBEAT_S)
+            if self.sequence == silent_from:
+                self.record(f"store: the entry of {self.name} is removed")
+                self.store.put("keyed.servers", self.name, None)
+        asyncio.ensure_future(expire())
+
+    async def restart(self):
+        """Its next life, under the same id and address. It knows nothing of before."""
+        self.born, self.started = int(time.time() * 1000), now()
+        self.token = self.until = self.number = self.sequence = 0
+        self.runs, self.highest, self.ended = {}, {}, []
+        self.record(f"worker {self.name} is back, born {self.born}")
+        ip, port = self.address.rsplit(":", 1)
+        await self.http.listen(ip, int(port))
+        self.tasks = [asyncio.ensure_future(self.beat()), asyncio.ensure_future(self.tick())]
 
     async def beat(self):
         while True:
