A job whose state can't be stored no longer stops all others

Cause: the state of a job is one record, with at least a byte for each task, and the store takes 262,144 bytes. Nothing bounded it. The records of a round are one append, so one record that can't be stored withheld all; the owner stepped down, took over 0.4 s later and planned the same round.

Evidence: the store's log of the case, 42 refusals of a record of 270,182 to 270,329 bytes in 19 s, none of any other call. Ruled out: the size of the submission (3.5 KB); the wide job does no harm before it is placed.

Change: the bounds of state_room.h keep each state below one record. A job that can't run within them is refused at submission, first starts wait while the state has no room, steps of finished occurrences are dropped when the next one has none, and checkpoints are left out of a state that is too large with them. A job above the bounds from an earlier build is ended as failed. Rounds and batches are split below one call. On the same path: a submission that outgrows a record only once encoded was refused by the store together with the others of its batch.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -146,6 +146,8 @@
   void onRecorded(const PlannedRound &round,
                   const std::map<ServerIncarnation, std::uint64_t> &received,
                   AppendOutcome outcome);
+  /// Steps down, since records of a round were not appended.
+  void onUnrecorded();
   void sendStarts(const PlannedRound &round);
   void deleteEndedJobs();
   ServerLink::Events linkEvents();
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -67,6 +67,8 @@
   spec.Payload = body;
   StepSpec step;
   step.Requested = {1000, 1000, 8};
+  if (body.starts_with("label="))
+    step.RequiredLabel = body.substr(body.find('=') + 1);
   spec.Steps.push_back(step);
   return spec;
 }
@@ -110,6 +112,7 @@
                       false,       Millis(20), Millis(5)};
       out.Appender.AnswerTimeout = Millis(40);
       out.Appender.RetryDelay = Millis(10);
+      out.Appender.MaxBatchBytes = site.MaxBatchBytes;
       out.Controller.Appender = out.Appender;
       out.Controller.TickInterval = Millis(10);
       out.Controller.ServerListInterval = Millis(20);
@@ -144,6 +147,8 @@
   Millis MaxReadGap{100};
   /// Interval of reads of the jobs topic, for entry VMs that are added later.
   Millis ReaderInterval{5};
+  /// Largest batch of several appends, for entry VMs that are added later.
+  std::size_t MaxBatchBytes = AppenderOptions().MaxBatchBytes;
   /// Entry VMs that are added later get no pages of more than this many bytes.
   std::size_t LatestValuesLimit = 1U << 20U;
 
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -1,6 +1,8 @@
 // Take-over and planning rounds of the owner.
 #include "citrongap/control/pod_controller.h"
 
+#include "citrongap/workload/state_room.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -17,6 +19,26 @@
 /// Even 1,500 such short records are far below the limit of one store call.
 constexpr std::size_t MaxTombstonesPerAppend = 500;
 
+// A job's records have keys of at most 64 bytes.
+static_assert(MaxEncodedBytes + 64 < StoreLimits::RecordBytes);
+
+/// Splits the records, in their order, into parts of at most `maxBytes`; a
+/// larger record is a part of its own.
+std::vector<std::vector<KeyedRecord>>
+splitForAppends(std::vector<KeyedRecord> records, std::size_t maxBytes) {
+  std::vector<std::vector<KeyedRecord>> parts;
+  std::size_t bytes = 0;
+  for (KeyedRecord &it : records) {
+    bytes += storedBytes(it);
+    if (parts.empty() || bytes > maxBytes) {
+      parts.emplace_back();
+      bytes = storedBytes(it);
+    }
+    parts.back().push_back(std::move(it));
+  }
+  return parts;
+}
+
 } // namespace
 
 PodController::PodController(EventLoop &loop, StorePort &store,
@@ -186,6 +208,12 @@
     const Millis age(std::max<std::int64_t>(
         toMillis(wallNow()) - entry->Spec->AcceptedAtMs, 0));
     Planner->addWork(*entry->Spec, std::move(record), monoNow(), age);
+    // Accepted by a build that had no such bound.
+    if (!canRunWithinState(*entry->Spec)) {
+      Log("owner", "job_too_large", "request={} state_bytes={}", id.str(),
+          unstartedBytes(*entry->Spec));
+      Planner->fail(id, toMillis(wallNow()));
+    }
   }
   if (entry->CancelRequested)
     Planner->cancel(id, toMillis(wallNow()));
@@ -253,11 +281,28 @@
     return;
   }
   AppendInFlight = true;
-  Appender->append(std::move(records),
-                   [this, round = std::move(round),
-                    received = std::move(received)](AppendOutcome outcome) {
-                     onRecorded(round, received, outcome);
-                   });
+  std::vector<std::vector<KeyedRecord>> calls =
+      splitForAppends(std::move(records), Options.Appender.MaxBatchBytes);
+  const std::vector<KeyedRecord> last = std::move(calls.back());
+  calls.pop_back();
+  for (std::vector<KeyedRecord> &it : calls)
+    Appender->append(std::move(it), [this](AppendOutcome outcome) {
+      if (outcome != AppendOutcome::Appended)
+        onUnrecorded();
+    });
+  Appender->append(last, [this, round = std::move(round),
+                          received = std::move(received)](AppendOutcome it) {
+    onRecorded(round, received, it);
+  });
+}
+
+void PodController::onUnrecorded() {
+  if (!Active)
+    return;
+  // The planner's state is ahead of the store, so it must be discarded.
+  stepDown("the store refused a record");
+  if (OnFenced)
+    OnFenced();
 }
 
 void PodController::onRecorded(
@@ -268,10 +313,7 @@
   if (!Active)
     return;
   if (outcome != AppendOutcome::Appended) {
-    // The planner's state is ahead of the store, so it must be discarded.
-    stepDown("the store refused a record");
-    if (OnFenced)
-      OnFenced();
+    onUnrecorded();
     return;
   }
   sendStarts(round);
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -2,9 +2,11 @@
 #include "citrongap/control/request_front.h"
 
 #include "citrongap/base/outcome.h"
+#include "citrongap/workload/state_room.h"
 
 #include <algorithm>
 #include <cctype>
+#include <fmt/format.h>
 #include <utility>
 
 namespace citrongap {
@@ -174,7 +176,16 @@
   spec.Service = queue.Service;
   spec.Objective = queue.Objective;
   spec.AcceptedAtMs = toMillis(wallNow());
-  std::vector<KeyedRecord> records{{specKey(id), encode(spec)}};
+  std::string encoded = encode(spec);
+  // The store would refuse it, and all that is appended with it.
+  if (encoded.size() > MaxEncodedBytes) {
+    Findings findings;
+    findings.add("/", fmt::format("takes {} bytes to store, more than {}",
+                                  encoded.size(), MaxEncodedBytes));
+    reply(AnswerInvalid{std::move(findings)});
+    return;
+  }
+  std::vector<KeyedRecord> records{{specKey(id), std::move(encoded)}};
   storeRecords(std::move(records), request.Deadline, reply,
                [this, spec = std::move(spec)]() -> CallerAnswer {
                  Registry.applySpec(spec);
--- a/packages/store/include/citrongap/store/batch_appender.h
+++ b/packages/store/include/citrongap/store/batch_appender.h
@@ -25,9 +25,9 @@
   /// A batch fails after it was refused for this long, provided that no
   /// attempt of it can have been appended. Zero: retry without a limit.
   Millis RefusalTimeout{0};
-  /// Size, in bytes of keys and values, from which a batch takes no further
-  /// append; below the store's limit of 2 MiB a call.
-  std::size_t MaxBatchBytes = 1U << 20U;
+  /// Largest batch of several appends, in bytes of its records. Half of what
+  /// the store takes in one call.
+  std::size_t MaxBatchBytes = StoreLimits::CallBytes / 2;
   /// After a batch of unknown outcome, the appender counts as fenced. Otherwise
   /// it goes on in the next epoch, which nobody else may use then.
   bool EndsWhenUnknown = false;
--- a/packages/store/include/citrongap/store/memory_store.h
+++ b/packages/store/include/citrongap/store/memory_store.h
@@ -58,6 +58,8 @@
   bool DealsAnew = false;
   /// Most records of a page of latest values.
   std::size_t LatestPageRecords = 3;
+  /// Most bytes of records that one append may have.
+  std::size_t MaxCallBytes = StoreLimits::CallBytes;
   /// Number of appends that reached the store.
   std::size_t appendCalls() const { return AppendCalls; }
 
--- a/packages/store/include/citrongap/store/store_port.h
+++ b/packages/store/include/citrongap/store/store_port.h
@@ -8,6 +8,7 @@
 #include "citrongap/base/time.h"
 #include "citrongap/net/call_deadline.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -31,6 +32,19 @@
   bool operator==(const KeyedRecord &) const = default;
 };
 
+/// What the store takes, in bytes; the platform's bounds.
+struct StoreLimits {
+  /// One record: its key, a byte with the key's length, and its value.
+  static constexpr std::size_t RecordBytes = 262144;
+  /// The records of one call.
+  static constexpr std::size_t CallBytes = 2097152;
+};
+
+/// Bytes of the record as the store counts them.
+inline std::size_t storedBytes(const KeyedRecord &record) {
+  return 1 + record.Key.size() + (record.Value ? record.Value->size() : 0);
+}
+
 /// Identifies one append, so that a repeat is idempotent and a producer with an
 /// older epoch is fenced.
 struct AppendStamp {
--- a/packages/store/src/batch_appender.cpp
+++ b/packages/store/src/batch_appender.cpp
@@ -9,6 +9,13 @@
 
 namespace {
 
+std::size_t storedBytes(const std::vector<KeyedRecord> &records) {
+  std::size_t bytes = 0;
+  for (const KeyedRecord &it : records)
+    bytes += storedBytes(it);
+  return bytes;
+}
+
 /// An attempt may have been appended without an answer.
 bool leavesUnknown(const StoreError &error) {
   const auto *fenced = std::get_if<StoreFenced>(&error);
@@ -52,14 +59,14 @@
     return;
   std::size_t bytes = 0;
   const bool withoutRecords = Queue.front().Records.empty();
-  while (!Queue.empty() && bytes < Options.MaxBatchBytes &&
-         Queue.front().Records.empty() == withoutRecords) {
+  while (!Queue.empty() && Queue.front().Records.empty() == withoutRecords) {
+    bytes += storedBytes(Queue.front().Records);
+    if (!Batch.empty() && bytes > Options.MaxBatchBytes)
+      break;
     Entry entry = std::move(Queue.front());
     Queue.pop_front();
-    for (KeyedRecord &it : entry.Records) {
-      bytes += it.Key.size() + (it.Value ? it.Value->size() : 0);
+    for (KeyedRecord &it : entry.Records)
       BatchRecords.push_back(std::move(it));
-    }
     entry.Records.clear();
     Batch.push_back(std::move(entry));
     if (withoutRecords)
--- a/packages/store/src/batch_appender_test.cpp
+++ b/packages/store/src/batch_appender_test.cpp
@@ -104,6 +104,21 @@
   BOOST_TEST(Store.size(Jobs) == 2U);
 }
 
+// Guards against a batch that the store refuses since its appends are too large
+// for one call only together.
+BOOST_AUTO_TEST_CASE(appends_too_large_for_one_call_are_sent_apart) {
+  Store.MaxCallBytes = 800;
+  AppenderOptions options = QuickOptions;
+  options.MaxBatchBytes = 500;
+  BatchAppender appender(Loop, View, Jobs, "vm-3", Epoch(1), options);
+  append(appender, "a");
+  for (const char *it : {"b", "c"})
+    append(appender, it + std::string(450, 'x'));
+  runUntil([&] { return appender.idle(); });
+  BOOST_TEST(Appended == 3);
+  BOOST_TEST(Failed + Unknown == 0);
+}
+
 BOOST_AUTO_TEST_CASE(batch_that_is_only_refused_fails_and_is_never_appended) {
   BatchAppender limited(Loop, View, Jobs, "vm-3", Epoch(1),
                         {Millis(30), Millis(5), Millis(20)});
--- a/packages/store/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -57,6 +57,12 @@
   } else if (!records.empty() && stamp.Sequence != producer.NextSequence) {
     return StoreError(StoreOutOfSequence{producer.NextSequence});
   }
+  std::size_t bytes = 0;
+  for (const KeyedRecord &record : records) {
+    bytes += storedBytes(record);
+    if (storedBytes(record) > StoreLimits::RecordBytes || bytes > MaxCallBytes)
+      return StoreError(StoreRefused{400, "too large"});
+  }
   for (const KeyedRecord &record : records)
     put(topic, record);
   if (!records.empty())
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -186,6 +186,8 @@
                Millis age = Millis(0));
   /// Ends the job as cancelled and stops its runs.
   void cancel(const WorkId &id, std::int64_t wallMs);
+  /// The same, as failed.
+  void fail(const WorkId &id, std::int64_t wallMs);
 
   // Reports of backend servers about runs. A report is ignored unless it is
   // about the current run of a task and comes from the server of that run;
@@ -263,6 +265,8 @@
                     std::int64_t wallMs);
   void finish(const WorkId &id, PlannedWork &work, WorkPhase phase,
               std::int64_t wallMs);
+  /// Does so unless the job has ended or is unknown.
+  void finishOpen(const WorkId &id, WorkPhase phase, std::int64_t wallMs);
   void stopAll(const WorkId &id, PlannedWork &work, const char *reason);
   /// Stops the placed runs of tasks of which an earlier run has ended as done.
   void stopRunsOfDoneTasks(const WorkId &id, PlannedWork &work);
@@ -279,6 +283,8 @@
   void collectStep(const WorkId &id, PlannedWork &work, std::uint32_t k,
                    std::uint32_t step, MonoTime now, std::int64_t wallMs,
                    std::vector<Unit> &out);
+  /// Leaves out tasks whose first start would not fit into the job's state.
+  void limitToStateRoom(Unit &unit) const;
   std::vector<PackingServer> packingView(MonoTime now) const;
   const StepSpec &specOf(const Unit &unit) const;
   void countTasksOfStep(const Unit &unit,
--- a/packages/workload/include/citrongap/workload/work_spec.h
+++ b/packages/workload/include/citrongap/workload/work_spec.h
@@ -115,7 +115,8 @@
 std::vector<Millis> remainingCriticalPaths(const std::vector<StepSpec> &steps,
                                            const std::vector<Millis> &runs);
 
-/// Returns all violations of size limits, step indices and value ranges.
+/// Returns all violations of size limits, of the bounds of state_room.h, of
+/// step indices and of value ranges.
 Findings checkWork(const WorkSpec &spec);
 
 } // namespace citrongap
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -149,9 +149,11 @@
 }
 
 void PodPlanner::cancel(const WorkId &id, std::int64_t wallMs) {
-  const auto it = Works.find(id);
-  if (it != Works.end() && !ended(it->second.Record.Phase))
-    finish(id, it->second, WorkPhase::Cancelled, wallMs);
+  finishOpen(id, WorkPhase::Cancelled, wallMs);
+}
+
+void PodPlanner::fail(const WorkId &id, std::int64_t wallMs) {
+  finishOpen(id, WorkPhase::Failed, wallMs);
 }
 
 bool PodPlanner::isCurrentRun(const TaskName &task, std::uint32_t run,
@@ -332,6 +334,13 @@
   stopAll(id, work, describe(phase));
 }
 
+void PodPlanner::finishOpen(const WorkId &id, WorkPhase phase,
+                            std::int64_t wallMs) {
+  const auto it = Works.find(id);
+  if (it != Works.end() && !ended(it->second.Record.Phase))
+    finish(id, it->second, phase, wallMs);
+}
+
 void PodPlanner::completeIfDone(const WorkId &id, PlannedWork &work,
                                 std::int64_t wallMs) {
   if (ended(work.Record.Phase) ||
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -1,5 +1,6 @@
 // One scheduling round: waiting steps in order of rank, each placed by best
 // fit. Urgent work may preempt, and servers are reserved for waiting gangs.
+#include "citrongap/workload/state_room.h"
 #include "pod_planner_unit.h"
 
 #include <algorithm>
@@ -38,7 +39,8 @@
   auto &occurrences = work.Record.Occurrences;
   while (occurrences.size() < work.Spec.occurrences() &&
          wallMs >= work.Spec.dueAtMs(
-                       static_cast<std::uint32_t>(occurrences.size()))) {
+                       static_cast<std::uint32_t>(occurrences.size())) &&
+         makeStateRoom(work.Spec, work.Record)) {
     Occurrence &added = occurrences.emplace_back();
     for (const StepSpec &it : work.Spec.Steps) {
       StepRecord &step = added.Steps.emplace_back();
@@ -60,7 +62,8 @@
     if (ended(work.Record.Phase))
       continue;
     for (std::uint32_t k = 0; k < work.Record.Occurrences.size(); ++k)
-      for (std::uint32_t s = 0; s < work.Spec.Steps.size(); ++s)
+      for (std::uint32_t s = 0; s < work.Record.Occurrences[k].Steps.size();
+           ++s)
         collectStep(id, work, k, s, now, wallMs, units);
   }
   std::sort(units.begin(), units.end(), [](const Unit &lhs, const Unit &rhs) {
@@ -100,6 +103,27 @@
   out.push_back(std::move(unit));
 }
 
+void PodPlanner::limitToStateRoom(Unit &unit) const {
+  const WorkRecord &record = Works.at(unit.Work).Record;
+  // The job has at most as many tasks as bytes.
+  if (unstartedBytes(record) <= MaxTasksTogether)
+    return;
+  const auto &tasks =
+      record.Occurrences[unit.Occurrence].Steps[unit.Step].Tasks;
+  const auto firstNew = std::stable_partition(
+      unit.Indices.begin(), unit.Indices.end(),
+      [&](std::uint32_t it) { return tasks[it].Run > 0; });
+  const auto added =
+      static_cast<std::size_t>(std::distance(firstNew, unit.Indices.end()));
+  const std::size_t most = firstStartsWithinState(record);
+  if (added <= most)
+    return;
+  if (unit.Gang)
+    unit.Indices.clear();
+  else
+    unit.Indices.resize(unit.Indices.size() - (added - most));
+}
+
 std::vector<PackingServer> PodPlanner::packingView(MonoTime now) const {
   std::vector<PackingServer> view;
   for (const auto &[id, slot] : Servers.all()) {
@@ -357,6 +381,9 @@
       reserveForUrgent(view, now);
       EmptyOutcomes.forgetFits();
     }
+    limitToStateRoom(unit);
+    if (unit.Indices.empty())
+      continue;
     countTasksOfStep(unit, view);
     if (unit.Gang ? place(unit, view, now, round)
                   : placeEach(unit, view, now, round))
--- a/packages/workload/src/work_codec.cpp
+++ b/packages/workload/src/work_codec.cpp
@@ -2,6 +2,7 @@
 // compact format, since they are written at each start and end of a run and
 // read by every entry VM: a task that is done or was never started takes one
 // byte.
+#include "citrongap/workload/state_room.h"
 #include "citrongap/workload/work_state.h"
 
 #include "compact_bytes.h"
@@ -68,8 +69,8 @@
 /// The bits of the stage in that byte.
 constexpr std::uint64_t StageMask = 3;
 
-void writeTask(const TaskRecord &task, IncarnationTable &incarnations,
-               ByteWriter &out) {
+void writeTask(const TaskRecord &task, bool withCheckpoint,
+               IncarnationTable &incarnations, ByteWriter &out) {
   const auto stage = static_cast<std::uint64_t>(task.Stage);
   if (task.Stage == TaskStage::Done || task.Run == 0) {
     out.writeVarint(stage);
@@ -80,7 +81,7 @@
   out.writeVarint(task.Run);
   out.writeVarint(task.Failures);
   out.writeVarint(incarnations.indexOf(task.Server));
-  out.writeString(task.Checkpoint);
+  out.writeString(withCheckpoint ? task.Checkpoint : "");
 }
 
 bool readTask(ByteReader &in, const IncarnationTable &incarnations,
@@ -103,13 +104,30 @@
   return in.good();
 }
 
-void writeStep(const StepRecord &step, IncarnationTable &incarnations,
-               ByteWriter &out) {
+void writeStep(const StepRecord &step, bool withCheckpoints,
+               IncarnationTable &incarnations, ByteWriter &out) {
   out.writeVarint(step.GangFailures);
   out.writeVarint(step.LastFailedRun);
   out.writeVarint(step.Tasks.size());
   for (const TaskRecord &it : step.Tasks)
-    writeTask(it, incarnations, out);
+    writeTask(it, withCheckpoints, incarnations, out);
+}
+
+std::string encodeRecord(const WorkRecord &record, bool withCheckpoints) {
+  IncarnationTable incarnations;
+  ByteWriter tasks;
+  tasks.writeVarint(record.Occurrences.size());
+  for (const Occurrence &it : record.Occurrences) {
+    tasks.writeVarint(it.Steps.size());
+    for (const StepRecord &step : it.Steps)
+      writeStep(step, withCheckpoints, incarnations, tasks);
+  }
+  ByteWriter out;
+  out.writeVarint(FormatVersion);
+  out.writeVarint(static_cast<std::uint64_t>(record.Phase));
+  out.writeVarint(static_cast<std::uint64_t>(record.EndedAtMs));
+  incarnations.write(out);
+  return out.bytes() + tasks.bytes();
 }
 
 bool readStep(ByteReader &in, const IncarnationTable &incarnations,
@@ -165,20 +183,10 @@
 }
 
 std::string encode(const WorkRecord &record) {
-  IncarnationTable incarnations;
-  ByteWriter tasks;
-  tasks.writeVarint(record.Occurrences.size());
-  for (const Occurrence &it : record.Occurrences) {
-    tasks.writeVarint(it.Steps.size());
-    for (const StepRecord &step : it.Steps)
-      writeStep(step, incarnations, tasks);
-  }
-  ByteWriter out;
-  out.writeVarint(FormatVersion);
-  out.writeVarint(static_cast<std::uint64_t>(record.Phase));
-  out.writeVarint(static_cast<std::uint64_t>(record.EndedAtMs));
-  incarnations.write(out);
-  return out.bytes() + tasks.bytes();
+  std::string bytes = encodeRecord(record, true);
+  // Checkpoints may be of any length. Without them, tasks start from the
+  // beginning.
+  return bytes.size() <= MaxEncodedBytes ? bytes : encodeRecord(record, false);
 }
 
 Checked<WorkSpec> decodeWorkSpec(const std::string &bytes) {
--- a/packages/workload/src/work_spec.cpp
+++ b/packages/workload/src/work_spec.cpp
@@ -1,6 +1,8 @@
 // Validation of submitted jobs and critical paths over their steps.
 #include "citrongap/workload/work_spec.h"
 
+#include "citrongap/workload/state_room.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -49,6 +51,7 @@
     checkStep(spec, at, findings);
   if (spec.Repetitions > 0 && spec.IntervalMs < 0)
     findings.add("/interval", "is negative");
+  findings.append(checkStateRoom(spec));
   return findings;
 }
 
