Leases on a restarted server end when its last own lease does

Cause: orders for a server's earlier life may be carried out by the next one up to 12 s late, and begin a lease there. The owner counted on such a lease for 12 s and a whole lease after each restart, also once the new life had accepted the higher token of its link: from then on it refuses every call for an earlier life and of an earlier owner.

Ruled out: the removal of the entry, a change of the owner (there was none).

Change: a link keeps the end of its own leases apart from that of others, and sets the latter to one lease after the first answer of that life under its token. If the tokens of an ownership are used up (16 restarts), they don't bar anything, and the long wait stays; the test late_poll_under_the_last_token_... holds before and after, and guards that condition.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -100,8 +100,9 @@
   bool hasEnded(const ServerIncarnation &incarnation) const;
   void addLink(const ServerEntry &entry);
   /// Token for calls to the server's current incarnation. It is above that of
-  /// calls for an earlier one, which the server refuses once it has seen it.
-  Epoch tokenFor(const BackendServerId &id) const;
+  /// calls for an earlier one, which the server refuses once it has seen it,
+  /// until the epochs of this ownership are used up.
+  LinkToken tokenFor(const BackendServerId &id) const;
   /// Has the server refuse starts that were sent to an earlier incarnation.
   void barLateStarts(const ServerIncarnation &incarnation, ServerLink &link);
   void dropServer(const ServerIncarnation &incarnation, const char *reason);
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -69,6 +69,13 @@
   Leaving
 };
 
+/// Fencing token of the calls of one link.
+struct LinkToken {
+  Epoch Value;
+  /// It is above those of all other calls that the server may still get.
+  bool IsHighest = true;
+};
+
 class ServerLink {
 public:
   struct Events {
@@ -95,11 +102,9 @@
     std::function<void(const ServerIncarnation &)> LeasesExpired;
   };
 
-  /// `inheritedLeaseEnd`: latest end of leases that an earlier owner may have
-  /// renewed.
   ServerLink(EventLoop &loop, FleetPort &fleet, PodPlanner &planner,
              EventLog &log, ServerIncarnation incarnation, Endpoint at,
-             Epoch token, LinkOptions options, MonoTime inheritedLeaseEnd,
+             LinkToken token, LinkOptions options, MonoTime othersLeaseEnd,
              Events events);
 
   /// Sends the start, with retries until its outcome is known. Without a recent
@@ -111,9 +116,10 @@
   /// Runs whose start may be or may have been carried out by the server's next
   /// incarnation: orders name the server's id only. Some may have ended.
   std::vector<RunId> unsettledStarts() const;
-  /// Leases that this link did not request may last until `end`.
-  void extendLeaseEnd(MonoTime end) {
-    LatestLeaseEnd = std::max(LatestLeaseEnd, end);
+  /// Leases that calls of others begin may last until `end`.
+  void extendOthersLeaseEnd(MonoTime end) {
+    if (!OthersBarred)
+      OthersLeaseEnd = std::max(OthersLeaseEnd, end);
   }
   /// An inactive link renews no leases and sends no orders.
   void setActive(bool active) { Active = active; }
@@ -181,6 +187,13 @@
   /// incarnation uses a higher token.
   void reportFenced();
   void onPollFailed(const FleetError &error);
+  /// The incarnation has accepted `Token`: it refuses all lower ones from now
+  /// on.
+  void barOthers();
+  /// No lease on the server ends later than this.
+  MonoTime latestLeaseEnd() const {
+    return std::max(OwnLeaseEnd, OthersLeaseEnd);
+  }
   void readClock(ServerClockMs clock);
   /// Earliest time that the server's clock may show at `now`.
   ServerClockMs earliestClock(MonoTime now) const;
@@ -197,6 +210,8 @@
   ServerIncarnation Incarnation;
   Endpoint Address;
   Epoch Token;
+  /// See LinkToken.
+  bool TokenIsHighest;
   LinkOptions Options;
   Events Notify;
   /// Invariant: an entry for each run that is placed on the server, and for
@@ -222,8 +237,13 @@
   };
   /// The server's clock in its latest answer; empty before the first one.
   std::optional<ClockReading> LastClock;
-  /// No lease on the server ends later than this.
-  MonoTime LatestLeaseEnd;
+  /// No lease that this link has requested ends later than this.
+  MonoTime OwnLeaseEnd;
+  /// The same, of leases that calls of others begin: those of earlier owners,
+  /// and those for an earlier incarnation that this one carries out late.
+  MonoTime OthersLeaseEnd;
+  /// The server refuses the calls of others.
+  bool OthersBarred = false;
   Timer PollTimer;
   std::shared_ptr<int> Alive = std::make_shared<int>(0);
 };
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -176,12 +176,11 @@
   added.pollIfNeeded();
 }
 
-Epoch PodController::tokenFor(const BackendServerId &id) const {
-  const auto dropped = DroppedLinks.find(id);
-  if (dropped == DroppedLinks.end())
-    return Token;
-  return Epoch(Token.value() + std::min(dropped->second,
-                                        OwnerElection::EpochsPerOwnership - 1));
+LinkToken PodController::tokenFor(const BackendServerId &id) const {
+  constexpr std::uint64_t Last = OwnerElection::EpochsPerOwnership - 1;
+  const auto found = DroppedLinks.find(id);
+  const std::uint64_t dropped = found == DroppedLinks.end() ? 0 : found->second;
+  return {Epoch(Token.value() + std::min(dropped, Last)), dropped <= Last};
 }
 
 void PodController::barLateStarts(const ServerIncarnation &incarnation,
@@ -262,7 +261,7 @@
       Options.Link.latestLeaseEnd(monoNow() + Options.Link.MaxOrderDelay);
   LateLeaseEnds.insert_or_assign(next, end);
   if (const auto link = Links.find(next); link != Links.end())
-    link->second->extendLeaseEnd(end);
+    link->second->extendOthersLeaseEnd(end);
 }
 
 bool PodController::moveUnlistedRuns(const ServerIncarnation &from) {
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -35,12 +35,12 @@
 
 ServerLink::ServerLink(EventLoop &loop, FleetPort &fleet, PodPlanner &planner,
                        EventLog &log, ServerIncarnation incarnation,
-                       Endpoint at, Epoch token, LinkOptions options,
-                       MonoTime inheritedLeaseEnd, Events events)
+                       Endpoint at, LinkToken token, LinkOptions options,
+                       MonoTime othersLeaseEnd, Events events)
     : Loop(loop), Fleet(fleet), Planner(planner), Log(log),
-      Incarnation(std::move(incarnation)), Address(std::move(at)), Token(token),
-      Options(options), Notify(std::move(events)),
-      LatestLeaseEnd(inheritedLeaseEnd) {
+      Incarnation(std::move(incarnation)), Address(std::move(at)),
+      Token(token.Value), TokenIsHighest(token.IsHighest), Options(options),
+      Notify(std::move(events)), OthersLeaseEnd(othersLeaseEnd) {
   for (StartOrder &it : Planner.runsPlacedOn(Incarnation)) {
     LateStarts[{it.Task, it.Run}] = monoNow() + Options.MaxOrderDelay;
     TrackedRun &tracked = TrackedRuns[{it.Task, it.Run}];
@@ -131,7 +131,7 @@
     return;
   }
   // Each start requests a lease. Retries to an unreachable server would
-  // postpone LatestLeaseEnd forever, and its runs would never be released.
+  // postpone OwnLeaseEnd forever, and its runs would never be released.
   if (FailedPolls >= Options.MaxFailedPolls || !Notify.MayAct() ||
       permission == StartPermission::ListStale) {
     it.RetryTimer =
@@ -149,7 +149,7 @@
   it.StartInFlight = true;
   std::erase_if(LateStarts, [&](const auto &n) { return n.second <= now; });
   LateStarts[run] = now + Options.AnswerTimeout + Options.MaxOrderDelay;
-  LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
+  OwnLeaseEnd = std::max(OwnLeaseEnd, Options.latestLeaseEnd(now));
   Fleet.start(Address, it.Order, *until, Token, now + Options.AnswerTimeout,
               [this, run, alive = std::weak_ptr<int>(Alive)](auto result) {
                 if (alive.lock())
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -18,7 +18,7 @@
   if (FailedPolls == 0 && !TrackedRuns.empty()) {
     request.LeaseUntil = leaseUntil(now);
     if (request.LeaseUntil)
-      LatestLeaseEnd = std::max(LatestLeaseEnd, Options.latestLeaseEnd(now));
+      OwnLeaseEnd = std::max(OwnLeaseEnd, Options.latestLeaseEnd(now));
   }
   if (request.LeaseUntil && Synchronized)
     request.Wait = Options.LongPollWait;
@@ -70,6 +70,8 @@
     Notify.Restarted(Incarnation, {Incarnation.Id, *answer.StartedAtMs});
     return;
   }
+  if (answer.StartedAtMs)
+    barOthers();
   if (FailedPolls >= Options.MaxFailedPolls) {
     Log("server", "reachable", "server={} born={}", Incarnation.Id.str(),
         Incarnation.StartedAtMs);
@@ -81,6 +83,12 @@
   applyLists(sentAt, answer);
 }
 
+void ServerLink::barOthers() {
+  if (!TokenIsHighest || std::exchange(OthersBarred, true))
+    return;
+  OthersLeaseEnd = std::min(OthersLeaseEnd, Options.latestLeaseEnd(monoNow()));
+}
+
 void ServerLink::onPollFailed(const FleetError &error) {
   if (std::holds_alternative<ServerFenced>(error)) {
     reportFenced();
@@ -98,11 +106,11 @@
     Planner.setReachable(Incarnation.Id, false);
     Notify.Changed();
   }
-  if (FailedPolls >= Options.MaxFailedPolls && monoNow() >= LatestLeaseEnd &&
+  if (FailedPolls >= Options.MaxFailedPolls && monoNow() >= latestLeaseEnd() &&
       !TrackedRuns.empty()) {
     Log("server", "leases_lapsed", "server={} born={} runs={} ended_ms_ago={}",
         Incarnation.Id.str(), Incarnation.StartedAtMs, TrackedRuns.size(),
-        (monoNow() - LatestLeaseEnd).count());
+        (monoNow() - latestLeaseEnd()).count());
     TrackedRuns.clear();
     Notify.LeasesExpired(Incarnation);
   }
--- a/packages/control/src/server_rebirth_test.cpp
+++ b/packages/control/src/server_rebirth_test.cpp
@@ -110,6 +110,49 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+// The same, with a next life whose token is that of the life before, since the
+// server has started again more often than this owner has tokens.
+BOOST_AUTO_TEST_CASE(
+    late_poll_under_the_last_token_does_not_outlive_the_lease) {
+  for (int n = 0; n < 20; ++n) {
+    Fleet.restart("i-1", 10 + n);
+    Store.put(Servers, {"i-1", "ready " + std::to_string(10 + n)});
+    runFor(Millis(60));
+  }
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  Fleet.at("i-1").DelayPolls = true;
+  runFor(Millis(30));
+  BOOST_REQUIRE(!Fleet.at("i-1").DelayedPolls.empty());
+  Fleet.restart("i-1", 50);
+  Store.put(Servers, {"i-1", "ready 50"});
+  Fleet.at("i-1").DelayPolls = false;
+  runFor(Millis(100));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Fleet.at("i-1").Unreachable = true;
+  Store.put(Servers, {"i-2", "ready"});
+  runFor(Millis(250));
+  Fleet.deliverDelayedPolls("i-1");
+  BOOST_TEST(mostRunsWithin(Millis(900)) == 1U);
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+// Guards against a task that stays idle after its lease has ended, because its
+// lost server had started again before.
+BOOST_AUTO_TEST_CASE(
+    task_of_a_lost_next_life_starts_elsewhere_after_its_lease) {
+  runFor(Millis(60));
+  restart();
+  runFor(Millis(60));
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Store.put(Servers, {"i-2", "ready"});
+  Fleet.at("i-1").Unreachable = true;
+  BOOST_TEST(mostRunsWithin(Millis(450)) == 1U);
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 // A run that its server had listed ended with that life of the server.
 BOOST_AUTO_TEST_CASE(listed_run_starts_elsewhere_at_once) {
   BOOST_TEST(submit("vm-1") == "accepted");
