An entry that names an unknown service ends no live server

Cause: the service of an entry was compared only when a task was placed. The entry counted as the machine's next life, and that releases the runs of the life before at once.

Evidence: the owner's log, gone why="its machine runs another server"; with the same entry in server_list the second start follows at once. Ruled out: the other fields of the entry (all of the right type), work that was sent to the odd server (none).

Change: an entry counts only if a configuration has named its service or a job uses it. Others are logged and kept aside, and apply once their service is named. Before the first configuration any service counts, so that no inherited run is released for want of one.

server_list/entry_of_an_unnamed_service_moves_no_run failed before (2 starts, the job not completed). server_is_used_once_its_service_is_named guards the other side and held before.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -69,6 +69,9 @@
   bool active() const { return Active; }
 
   void setGuarantees(std::map<ClientAccountId, std::int64_t> gpus);
+  /// A configuration names these services. Entries of servers of a service that
+  /// none has named, and no job uses, are ignored.
+  void addServices(const std::set<std::string> &names);
   /// Data centres whose servers get no new runs.
   void setEvacuated(std::set<DataCentreId> dataCentres);
   /// A job was submitted or cancelled.
@@ -87,6 +90,8 @@
   void activate();
   void loadJob(const WorkId &id);
   void onServerRecord(const KeyedRecord &record);
+  /// Applies again the entries that were ignored for their service.
+  void reviewUnnamedEntries();
   /// Known incarnations of the entry's server and machine that can't run beside
   /// the entry's one.
   std::set<ServerIncarnation> rivalsOf(const ServerEntry &entry) const;
@@ -183,6 +188,11 @@
   std::unique_ptr<BatchAppender> RetiredAppender;
   /// Latest entry of each listed server.
   std::map<BackendServerId, ServerEntry> ListedServers;
+  /// Services that a configuration has named or a job uses; before the first
+  /// configuration, empty: any may exist.
+  std::set<std::string> NamedServices;
+  /// Latest entries that name another service, by server.
+  std::map<BackendServerId, KeyedRecord> UnnamedEntries;
   /// A listed server whose entry is missing. The server may still run.
   struct MissingEntry {
     MonoTime Since;
--- a/packages/control/include/citrongap/control/site_configuration.h
+++ b/packages/control/include/citrongap/control/site_configuration.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,12 +42,16 @@
   std::map<ClientAccountId, AccountRules> Accounts;
   std::map<std::string, ClientAccountId> AccountByKey;
   std::size_t MaxBodyBytes = 262144;
+  /// Services of backend servers that no queue need use yet.
+  std::set<std::string> Services;
 
   /// The queue for a request; null if none matches. A port in `host` is
   /// ignored.
   const QueueRules *queueFor(std::string_view host,
                              std::string_view path) const;
   const QueueRules *queue(const QueueId &id) const;
+  /// All services that are named, also by queues.
+  std::set<std::string> namedServices() const;
   /// Guaranteed accelerators by account.
   std::map<ClientAccountId, std::int64_t> guarantees() const;
 };
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -213,6 +213,7 @@
       configuration->InForce.value(), configuration->Queues.size(),
       configuration->Accounts.size(), configuration->AccountByKey.size());
   Controller.setGuarantees(configuration->guarantees());
+  Controller.addServices(configuration->namedServices());
   Front.setConfiguration(std::move(*configuration));
 }
 
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -29,14 +29,18 @@
   queue.MaxAttempts = 2;
   out.Queues.push_back(queue);
   out.Accounts[ClientAccountId("quetta")] = {ClientAccountId("quetta"), 8};
+  // Revision 3 adds a service.
+  if (out.InForce >= Revision(3))
+    out.Services.insert("proof");
   // Revision 2 revokes the key.
-  if (out.InForce < Revision(2))
+  if (out.InForce != Revision(2))
     out.AccountByKey[Key] = ClientAccountId("quetta");
   return out;
 }
 
 inline Checked<ServerEntry> readServer(const KeyedRecord &record) {
-  // "STATE", "STATE START" or "STATE START MACHINE".
+  // "STATE", "STATE START", "STATE START MACHINE" or with a service after
+  // these.
   if (record.Value == "odd") {
     Findings findings;
     findings.add("/", "of another writer");
@@ -46,9 +50,10 @@
   std::string state;
   std::int64_t startedAt = 1;
   ServerEntry entry;
-  value >> state >> startedAt >> entry.Machine;
+  std::string service = "render";
+  value >> state >> startedAt >> entry.Machine >> service;
   entry.Incarnation = {BackendServerId(record.Key), startedAt};
-  entry.Service = "render";
+  entry.Service = service;
   entry.Rack = RackId("r1");
   // "i-1" is in "dc-1".
   entry.DataCentre = DataCentreId("dc-" + record.Key.substr(2));
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -150,6 +150,7 @@
   }
   Links.clear();
   ListedServers.clear();
+  UnnamedEntries.clear();
   MissingSince.clear();
   ReportedAfter.clear();
   LastReadAt.clear();
@@ -207,6 +208,8 @@
       return;
     const Millis age(std::max<std::int64_t>(
         toMillis(wallNow()) - entry->Spec->AcceptedAtMs, 0));
+    if (!NamedServices.empty())
+      addServices({entry->Spec->Service});
     Planner->addWork(*entry->Spec, std::move(record), monoNow(), age);
     // Accepted by a build that had no such bound.
     if (!canRunWithinState(*entry->Spec)) {
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -13,6 +13,7 @@
   if (!Planner)
     return;
   const BackendServerId id(record.Key);
+  UnnamedEntries.erase(id);
   if (!record.Value) {
     onEntryRemoved(id);
     return;
@@ -24,6 +25,12 @@
         std::get<Findings>(read).text());
     return;
   }
+  if (!NamedServices.empty() && !NamedServices.contains(entry->Service)) {
+    Log("servers", "entry_ignored", "server={} why=\"names service '{}'\"",
+        id.str(), entry->Service);
+    UnnamedEntries.emplace(id, record);
+    return;
+  }
   if (EndedIncarnations.contains(entry->Incarnation) || !replaceRivals(*entry))
     return;
   LastReadAt[entry->Incarnation] = monoNow();
@@ -42,6 +49,22 @@
     addLink(*entry);
 }
 
+void PodController::addServices(const std::set<std::string> &names) {
+  const std::size_t before = NamedServices.size();
+  NamedServices.insert(names.begin(), names.end());
+  if (NamedServices.size() > before)
+    reviewUnnamedEntries();
+}
+
+void PodController::reviewUnnamedEntries() {
+  for (const auto &[id, record] : std::exchange(UnnamedEntries, {})) {
+    onServerRecord(record);
+    // It was appended some time ago.
+    ReportedAfter.erase(id);
+  }
+  scheduleRound();
+}
+
 Millis PodController::listAge() const {
   return monoNow() - ServersReader.currentAsOf().value_or(TookOverAt);
 }
@@ -74,6 +97,8 @@
 }
 
 void PodController::onServersLoaded(const std::set<std::string> &keys) {
+  std::erase_if(UnnamedEntries,
+                [&](const auto &it) { return !keys.contains(it.first.str()); });
   std::vector<BackendServerId> removed;
   for (const auto &[id, entry] : ListedServers)
     if (!keys.contains(id.str()) && !MissingSince.contains(id))
--- a/packages/control/src/server_list_test.cpp
+++ b/packages/control/src/server_list_test.cpp
@@ -167,6 +167,28 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+// Guards against an entry of another writer that ends a live server for the
+// owner: it names that server's machine, and a service that does not exist.
+BOOST_AUTO_TEST_CASE(entry_of_an_unnamed_service_moves_no_run) {
+  startOn("i-1", "ready 1 m-1");
+  list("i-2", "ready 1 m-2");
+  list("x-1", "ready 9 m-1 spare-parts");
+  list("i-1", "ready 1 m-1");
+  BOOST_TEST(Fleet.started() == 1U);
+  Fleet.end("i-1", Fleet.anyRun().second, RunOutcome::Done);
+  runFor(Millis(100));
+  BOOST_TEST(state("vm-1") == "completed");
+}
+
+// Guards against a server that stays ignored after its service has been named.
+BOOST_AUTO_TEST_CASE(server_is_used_once_its_service_is_named) {
+  list("i-3", "ready 1 m-3 proof");
+  BOOST_TEST((Fleet.at("i-3").Token == Epoch()));
+  Store.put(Configuration, {"config", "3"});
+  runFor(Millis(100));
+  BOOST_TEST((Fleet.at("i-3").Token > Epoch()));
+}
+
 // Guards against an owner that takes over again and counts the list that it
 // loaded in its earlier ownership: it released runs before it knew the servers,
 // and a task that was done started again.
--- a/packages/control/src/site_configuration.cpp
+++ b/packages/control/src/site_configuration.cpp
@@ -21,6 +21,13 @@
   return nullptr;
 }
 
+std::set<std::string> SiteConfiguration::namedServices() const {
+  std::set<std::string> names = Services;
+  for (const QueueRules &it : Queues)
+    names.insert(it.Service);
+  return names;
+}
+
 std::map<ClientAccountId, std::int64_t> SiteConfiguration::guarantees() const {
   std::map<ClientAccountId, std::int64_t> out;
   for (const auto &[id, account] : Accounts)
