An end whose result outgrows its record by escaping is recorded

The appender refused the record as never sent, and the owner wrote the same end again each time, without end: its tasks were not acknowledged, and a later owner did not learn that the job had run.

Change: the bound is on the encoded record. A larger result is kept as "it ran to its end; its answer was too large to keep", as one above 32 KB was. Ruled out: claims and accepted jobs, whose refusal the caller is told ("not run"); records of takeovers, which have a fixed size.

claim_writer/end_with_a_result_that_grows_by_escaping_is_recorded failed before: no record was read back.

--- a/packages/ledger/src/claim_writer.cpp
+++ b/packages/ledger/src/claim_writer.cpp
@@ -13,8 +13,11 @@
 
 constexpr Log Logger("claims");
 const std::string Stream = "jobs";
-/// Bytes of an outcome's record besides its text.
+/// Largest result of a job that is kept, in bytes.
 constexpr std::size_t MaxKeptAnswer = 32U << 10U;
+/// The same, of a record with a result. A kept entry of the job has a few more
+/// fields than the record of its end.
+constexpr std::size_t MaxEndedBytes = MaxRecordBytes - 2048;
 
 } // namespace
 
@@ -178,11 +181,16 @@
 
 void ClaimWriter::recordEnded(JobEnded ended, MonoTime deadline,
                               RecordCallback callback) {
+  const std::string id = newId();
   const auto *done = std::get_if<Done>(&ended.Result);
-  if (done && done->Result.size() > MaxKeptAnswer)
+  // Escaped, a result may take several times its size.
+  const bool tooLarge =
+      done && (done->Result.size() > MaxKeptAnswer ||
+               encodeJobRecord({id, wallNow(), ended}).size() > MaxEndedBytes);
+  if (tooLarge)
     ended.Result =
         Unknown{"it ran to its end; its answer was too large to keep"};
-  submit(std::move(ended), newId(), deadline, std::move(callback));
+  submit(std::move(ended), id, deadline, std::move(callback));
 }
 
 void ClaimWriter::takeOver(
--- a/packages/ledger/src/claim_writer_test.cpp
+++ b/packages/ledger/src/claim_writer_test.cpp
@@ -182,6 +182,23 @@
   BOOST_TEST(writer.ledger().find(asked.Job) == nullptr);
 }
 
+// Guards against an end that is never recorded: its result is small enough only
+// until it is escaped.
+BOOST_FIXTURE_TEST_CASE(end_with_a_result_that_grows_by_escaping_is_recorded,
+                        Fixture) {
+  ClaimWriter writer(Loop, Log, EntryVmId("a"), Random(1), quick());
+  startCaughtUp(writer);
+  std::optional<RecordFate> fate;
+  writer.recordEnded({request("k").Job, std::nullopt, request("k").Deadline,
+                      Done{std::string(30000, '\x01')}},
+                     soon(), [&](const RecordFate &it) { fate = it; });
+  BOOST_TEST(runUntil(Loop, [&] { return fate.has_value(); }));
+  BOOST_TEST(std::holds_alternative<RecordRead>(*fate));
+  const JobEntry *entry = writer.ledger().find(request("k").Job);
+  BOOST_REQUIRE(entry && entry->Result);
+  BOOST_TEST(std::holds_alternative<Unknown>(*entry->Result));
+}
+
 BOOST_FIXTURE_TEST_CASE(waiting_records_are_bounded, Fixture) {
   auto settings = quick();
   settings.Appending.MaxPending = 2;
