A new owner does not wait anew for leases that have ended

Owners in turn begin that wait anew, though none of them renews a lease on a server that does not answer.

Ruled out: the removal of the entries, which proves no end of a lease.

Change: an owner records in the jobs topic on which unreachable servers it renews no lease, and renews none there until the withdrawal of that is stored. A new owner waits for one lease from its reading of the record, or as before if that is sooner. Beside an entry VM of an earlier build, which withdraws nothing, the records don't count.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -140,18 +140,28 @@
   /// have deregistered at once, others after `EntryReturnTimeout` if no runs
   /// are placed on them.
   void dropMissingServers();
-  /// Releases runs placed on incarnations that are not listed.
+  /// Takes over what the store says of the leases on this server.
+  void readLeaseEnd(const ServerIncarnation &incarnation);
+  /// Releases runs placed on incarnations that are not listed, or has the end
+  /// of their leases recorded.
   void releaseUnlistedRuns();
-  /// Latest end of leases that an earlier owner may have renewed.
-  MonoTime inheritedLeaseEnd() const;
-  /// The same, or of leases that begin with a call for an earlier incarnation.
+  /// Latest end of leases that an earlier owner may have renewed, unless it
+  /// recorded that it renews none, or of leases that begin with a call for an
+  /// earlier incarnation.
   MonoTime inheritedLeaseEnd(const ServerIncarnation &incarnation) const;
   void scheduleRound();
   void runRound();
   void recordRound(PlannedRound round);
   void onRecorded(const PlannedRound &round,
                   const std::map<ServerIncarnation, std::uint64_t> &received,
+                  const std::vector<ServerIncarnation> &renewable,
                   AppendOutcome outcome);
+  /// Records on which servers no lease is renewed, so that a later owner need
+  /// not wait as if one had been, and withdraws that before one is renewed.
+  /// Adds the servers to `renewable` whose leases may be renewed once `records`
+  /// are appended.
+  void recordLeaseEnds(std::vector<KeyedRecord> &records,
+                       std::vector<ServerIncarnation> &renewable);
   /// Steps down, since records of a round were not appended.
   void onUnrecorded();
   void sendStarts(const PlannedRound &round);
@@ -217,6 +227,11 @@
   std::set<ServerIncarnation> EndedIncarnations;
   /// Latest end of leases that begin with a call for an earlier incarnation.
   std::map<ServerIncarnation, MonoTime> LateLeaseEnds;
+  /// Since when no lease is renewed on servers of which the store says so.
+  /// Invariant: no link renews one there.
+  std::map<ServerIncarnation, MonoTime> LeasesEndFrom;
+  /// Incarnations without a link of which the next round is to record it.
+  std::vector<ServerIncarnation> UnlistedLeaseEnds;
   /// Incarnations that one with an earlier start has replaced. Their start
   /// proves no order any more.
   std::set<ServerIncarnation> ReplacedByEarlier;
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -121,6 +121,17 @@
     if (!OthersBarred)
       OthersLeaseEnd = std::max(OthersLeaseEnd, end);
   }
+  /// Until allowRenewals(), no lease is renewed or begun: the store may tell a
+  /// later owner that the leases end.
+  void barRenewals() { RenewalsBarred = true; }
+  void allowRenewals();
+  /// Leases may end and this is not recorded yet: the server is unreachable,
+  /// and none lasts longer than one that would be requested now.
+  bool leaseEndIsDue() const;
+  /// Leases could be renewed, but for barRenewals().
+  bool awaitsRenewals() const {
+    return RenewalsBarred && Synchronized && FailedPolls == 0;
+  }
   /// An inactive link renews no leases and sends no orders.
   void setActive(bool active) { Active = active; }
   /// Polls if runs, unacknowledged run ends or failed polls call for it.
@@ -242,6 +253,8 @@
   /// The same, of leases that calls of others begin: those of earlier owners,
   /// and those for an earlier incarnation that this one carries out late.
   MonoTime OthersLeaseEnd;
+  /// See barRenewals().
+  bool RenewalsBarred = false;
   /// The server refuses the calls of others.
   bool OthersBarred = false;
   Timer PollTimer;
--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace citrongap {
 
@@ -25,6 +26,10 @@
 /// Key of the address of an entry VM that loads all jobs and answers questions
 /// about them.
 std::string holderKey(const EntryVmId &id);
+/// Key of the end of the leases on a backend server; see leasesEndFrom().
+std::string leaseEndKey(const BackendServerId &id);
+/// Key by which an entry VM states that it writes and withdraws those.
+std::string leaseEndWriterKey(const EntryVmId &id);
 /// The addresses of peers and holders are the keys after this one.
 std::string keyBeforePeers();
 
@@ -68,6 +73,14 @@
   /// Number of jobs of the queue that are neither started nor cancelled.
   std::size_t queuedJobs(const QueueId &queue) const;
 
+  /// Since when no lease on this server has been renewed, at the latest, as an
+  /// owner has recorded and none has withdrawn; empty without such a record.
+  /// The end of time while an entry VM of an earlier build, which withdraws
+  /// none, may own the pod.
+  std::optional<MonoTime> leasesEndFrom(const ServerIncarnation &server) const;
+  /// Servers of which such a record was read before this time.
+  std::vector<BackendServerId> leaseEndsReadBefore(MonoTime at) const;
+
   /// Called for each new submission or cancellation.
   std::function<void(const WorkId &id)> OnJobChange;
   /// Called with the published address of an entry VM, "IP:PORT".
@@ -79,9 +92,23 @@
   /// Removes the part of the job that a key of this kind holds. The records of
   /// one key say nothing of the others: a load may be ahead of some keys only.
   void remove(char kind, const WorkId &id);
+  void applyLeaseEnd(const BackendServerId &id, const KeyedRecord &record);
+  /// An entry VM has published its address, or that it writes lease ends.
+  void noteVm(const EntryVmId &id, bool writesLeaseEnds);
 
   EventLog &Log;
   std::map<WorkId, RegistryEntry> Entries;
+  /// When the end of a server's leases was read, and the start of that
+  /// incarnation.
+  struct LeaseEnd {
+    std::int64_t StartedAtMs = 0;
+    MonoTime ReadAt;
+  };
+  std::map<BackendServerId, LeaseEnd> LeaseEnds;
+  /// Whether each known entry VM writes lease ends.
+  std::map<EntryVmId, bool> Vms;
+  /// Since when all of them do; empty if one does not.
+  std::optional<MonoTime> AllWriteSince;
 };
 
 } // namespace citrongap
--- a/packages/control/src/entry_node.cpp
+++ b/packages/control/src/entry_node.cpp
@@ -165,6 +165,7 @@
 
 void EntryNode::announce() {
   std::vector<KeyedRecord> records{
+      {leaseEndWriterKey(Settings.Self), "1"},
       {peerKey(Settings.Self), Settings.PeerAddress}};
   if (!Settings.Election.Standby)
     records.push_back({holderKey(Settings.Self), Settings.PeerAddress});
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -242,6 +242,20 @@
     }
     return most;
   }
+  /// The job runs on "i-1", which is lost, and so is the owner somewhat later;
+  /// "i-2" is free. Returns after the next owner has taken over.
+  void loseServerAndOwner() {
+    BOOST_TEST(submit("vm-2") == "accepted");
+    runFor(Millis(60));
+    BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+    Store.put(Servers, {"i-2", "ready"});
+    Fleet.at("i-1").Unreachable = true;
+    runFor(Millis(250));
+    Store.put(Servers, {"i-1", std::nullopt});
+    kill("vm-1");
+    runFor(Millis(100));
+    BOOST_REQUIRE(Fleet.started() == 1U);
+  }
   /// A start of the job was sent to "i-1", which delays it; "i-2" is free.
   void sendDelayedStart() {
     Fleet.at("i-1").DelayStarts = true;
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -16,6 +16,8 @@
 constexpr Millis RoundDelay{2};
 /// Ended jobs are kept 30 s longer than required, so this may be coarse.
 constexpr Millis CleanupInterval{10000};
+/// The end of the leases on a server is of use for one lease only.
+constexpr Millis LeaseEndRetention{60000};
 /// Even 1,500 such short records are far below the limit of one store call.
 constexpr std::size_t MaxTombstonesPerAppend = 500;
 
@@ -124,6 +126,8 @@
   ++Metrics.TakeOvers;
   for (const auto &[id, entry] : Registry.all())
     loadJob(id);
+  for (const ServerIncarnation &it : Planner->incarnationsWithRuns())
+    readLeaseEnd(it);
   Log("owner", "took_over", "epoch={} jobs={} servers={} read_to={}",
       Token.value(), Registry.all().size(), ListedServers.size(),
       ReplayUpTo->value());
@@ -158,6 +162,8 @@
   EndedIncarnations.clear();
   ReplacedByEarlier.clear();
   LateLeaseEnds.clear();
+  LeasesEndFrom.clear();
+  UnlistedLeaseEnds.clear();
   StartsOfDroppedLinks.clear();
   DroppedLinks.clear();
   UnreadEnds.clear();
@@ -265,6 +271,8 @@
     if (link->hasUnrecordedEnds())
       received[incarnation] = link->receivedUpTo();
   std::vector<KeyedRecord> records;
+  std::vector<ServerIncarnation> renewable;
+  recordLeaseEnds(records, renewable);
   for (const WorkId &id : Planner->takeChangedWork()) {
     const PlannedWork &work = *Planner->find(id);
     WorkRecord copy = work.Record;
@@ -294,8 +302,9 @@
         onUnrecorded();
     });
   Appender->append(last, [this, round = std::move(round),
-                          received = std::move(received)](AppendOutcome it) {
-    onRecorded(round, received, it);
+                          received = std::move(received),
+                          renewable = std::move(renewable)](AppendOutcome it) {
+    onRecorded(round, received, renewable, it);
   });
 }
 
@@ -311,7 +320,7 @@
 void PodController::onRecorded(
     const PlannedRound &round,
     const std::map<ServerIncarnation, std::uint64_t> &received,
-    AppendOutcome outcome) {
+    const std::vector<ServerIncarnation> &renewable, AppendOutcome outcome) {
   AppendInFlight = false;
   if (!Active)
     return;
@@ -319,6 +328,11 @@
     onUnrecorded();
     return;
   }
+  for (const ServerIncarnation &it : renewable)
+    if (const auto link = Links.find(it); link != Links.end()) {
+      LeasesEndFrom.erase(it);
+      link->second->allowRenewals();
+    }
   sendStarts(round);
   for (const auto &[incarnation, number] : received)
     if (const auto link = Links.find(incarnation); link != Links.end())
@@ -360,6 +374,12 @@
     tombstones.push_back({stateKey(id), std::nullopt});
     tombstones.push_back({cancelKey(id), std::nullopt});
   }
+  // Without it, a later owner waits longer, and needs not: the leases have
+  // ended.
+  for (const BackendServerId &it :
+       Registry.leaseEndsReadBefore(monoNow() - LeaseEndRetention))
+    if (tombstones.size() < 4 * MaxTombstonesPerAppend)
+      tombstones.push_back({leaseEndKey(it), std::nullopt});
   if (!tombstones.empty())
     Appender->append(std::move(tombstones), nullptr);
 }
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -191,11 +191,14 @@
   Planner->putServer(entry, now);
   if (Links.contains(entry.Incarnation))
     return;
+  readLeaseEnd(entry.Incarnation);
   auto link = std::make_unique<ServerLink>(
       Loop, Fleet, *Planner, Log, entry.Incarnation,
       Endpoint{entry.Ip, entry.Port}, tokenFor(entry.Incarnation.Id),
       Options.Link, inheritedLeaseEnd(entry.Incarnation), linkEvents());
   ServerLink &added = *link;
+  if (LeasesEndFrom.contains(entry.Incarnation))
+    added.barRenewals();
   Links.emplace(entry.Incarnation, std::move(link));
   barLateStarts(entry.Incarnation, added);
   added.pollIfNeeded();
@@ -358,16 +361,39 @@
     EndedIncarnations.erase(it);
 }
 
-MonoTime PodController::inheritedLeaseEnd() const {
-  return Options.Link.latestLeaseEnd(TookOverAt + Options.OwnershipTimeout);
-}
-
 MonoTime
 PodController::inheritedLeaseEnd(const ServerIncarnation &incarnation) const {
+  MonoTime end =
+      Options.Link.latestLeaseEnd(TookOverAt + Options.OwnershipTimeout);
+  if (const auto from = LeasesEndFrom.find(incarnation);
+      from != LeasesEndFrom.end())
+    end = std::min(end, Options.Link.latestLeaseEnd(from->second));
   const auto late = LateLeaseEnds.find(incarnation);
-  return late == LateLeaseEnds.end()
-             ? inheritedLeaseEnd()
-             : std::max(inheritedLeaseEnd(), late->second);
+  return late == LateLeaseEnds.end() ? end : std::max(end, late->second);
+}
+
+void PodController::readLeaseEnd(const ServerIncarnation &incarnation) {
+  if (const auto from = Registry.leasesEndFrom(incarnation))
+    LeasesEndFrom.try_emplace(
+        incarnation, std::min(*from, TookOverAt + Options.OwnershipTimeout));
+}
+
+void PodController::recordLeaseEnds(std::vector<KeyedRecord> &records,
+                                    std::vector<ServerIncarnation> &renewable) {
+  std::vector<ServerIncarnation> ending = std::exchange(UnlistedLeaseEnds, {});
+  for (const auto &[incarnation, link] : Links) {
+    if (link->leaseEndIsDue()) {
+      link->barRenewals();
+      ending.push_back(incarnation);
+    } else if (link->awaitsRenewals()) {
+      records.push_back({leaseEndKey(incarnation.Id), std::nullopt});
+      renewable.push_back(incarnation);
+    }
+  }
+  for (const ServerIncarnation &it : ending) {
+    LeasesEndFrom.emplace(it, monoNow());
+    records.push_back({leaseEndKey(it.Id), std::to_string(it.StartedAtMs)});
+  }
 }
 
 void PodController::releaseUnlistedRuns() {
@@ -379,9 +405,15 @@
       continue;
     // Unless it has ended, leases that an earlier owner renewed must expire
     // first.
-    if (hasEnded(incarnation) ? moveUnlistedRuns(incarnation)
-                              : now < inheritedLeaseEnd(incarnation))
+    if (hasEnded(incarnation) && moveUnlistedRuns(incarnation))
       continue;
+    const MonoTime leaseEnd = inheritedLeaseEnd(incarnation);
+    if (!hasEnded(incarnation) && now < leaseEnd) {
+      if (!LeasesEndFrom.contains(incarnation) &&
+          leaseEnd <= Options.Link.latestLeaseEnd(now))
+        UnlistedLeaseEnds.push_back(incarnation);
+      continue;
+    }
     Log("servers", "unlisted_runs_released", "server={} born={}",
         incarnation.Id.str(), incarnation.StartedAtMs);
     Planner->expireLeases(incarnation, now);
--- a/packages/control/src/server_lease_test.cpp
+++ b/packages/control/src/server_lease_test.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+const TopicId Jobs("keyed.jobs");
+
 struct LongLeaseSite : LeaseSite {
   LongLeaseSite() : LeaseSite(Millis(600)) {}
 };
@@ -84,6 +86,44 @@
   BOOST_TEST(Fleet.running() == 1U);
 }
 
+// Guards against owners in turn that each wait for a whole lease from their own
+// take-over, though none has been renewed since the server was lost.
+BOOST_FIXTURE_TEST_CASE(leases_that_ended_before_a_take_over_are_not_awaited,
+                        LeaseSite) {
+  loseServerAndOwner();
+  BOOST_TEST(mostRunsWithin(Millis(330)) == 1U);
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+// The same, beside an entry VM of an earlier build, which may have renewed
+// leases meanwhile: they are awaited.
+BOOST_FIXTURE_TEST_CASE(leases_are_awaited_beside_an_earlier_build, LeaseSite) {
+  Store.put(Jobs, {peerKey(EntryVmId("vm-9")), "10.0.0.1:9"});
+  loseServerAndOwner();
+  runFor(Millis(330));
+  BOOST_TEST(Fleet.at("i-2").Started.empty());
+  BOOST_TEST(mostRunsWithin(Millis(900)) == 1U);
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+// Guards against a new owner that takes leases for ended that were renewed
+// after the server had become reachable again.
+BOOST_FIXTURE_TEST_CASE(renewals_after_an_outage_are_awaited, LongLeaseSite) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Store.put(Servers, {"i-2", "ready"});
+  Fleet.at("i-1").Unreachable = true;
+  runFor(Millis(400));
+  Fleet.at("i-1").Unreachable = false;
+  BOOST_TEST(mostRunsWithin(Millis(900)) == 1U);
+  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+  Fleet.at("i-1").Unreachable = true;
+  kill("vm-1");
+  BOOST_TEST(mostRunsWithin(Millis(1800)) == 1U);
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 // Guards against a job that is shown as running for good: the start of its
 // second run waited for the server list when its first run turned out done.
 BOOST_FIXTURE_TEST_CASE(job_is_completed_by_an_earlier_run_while_a_start_waits,
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -90,6 +90,18 @@
   pollIfNeeded();
 }
 
+bool ServerLink::leaseEndIsDue() const {
+  return !RenewalsBarred && !reachable() && !TrackedRuns.empty() &&
+         latestLeaseEnd() <= Options.latestLeaseEnd(monoNow());
+}
+
+void ServerLink::allowRenewals() {
+  if (!std::exchange(RenewalsBarred, false))
+    return;
+  PollTimer.cancel();
+  pollIfNeeded();
+}
+
 void ServerLink::setRecordedUpTo(std::uint64_t number) {
   RecordedUpTo = std::max(RecordedUpTo, number);
   pollIfNeeded();
@@ -132,8 +144,8 @@
   }
   // Each start requests a lease. Retries to an unreachable server would
   // postpone OwnLeaseEnd forever, and its runs would never be released.
-  if (FailedPolls >= Options.MaxFailedPolls || !Notify.MayAct() ||
-      permission == StartPermission::ListStale) {
+  if (FailedPolls >= Options.MaxFailedPolls || RenewalsBarred ||
+      !Notify.MayAct() || permission == StartPermission::ListStale) {
     it.RetryTimer =
         Loop.at(now + Options.RetryDelay, [this, run] { sendStart(run); });
     return;
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -15,7 +15,7 @@
   PollRequest request;
   // After a failed poll no lease is renewed: the leases of a server that may be
   // unreachable shall end soon.
-  if (FailedPolls == 0 && !TrackedRuns.empty()) {
+  if (FailedPolls == 0 && !RenewalsBarred && !TrackedRuns.empty()) {
     request.LeaseUntil = leaseUntil(now);
     if (request.LeaseUntil)
       OwnLeaseEnd = std::max(OwnLeaseEnd, Options.latestLeaseEnd(now));
@@ -129,13 +129,15 @@
   reportMissingRuns(sentAt, answer, now);
   sendUnconfirmedStarts();
   stopObsoleteRuns();
-  if (ReceivedUpTo > before)
+  if (ReceivedUpTo > before || RenewalsBarred)
     Notify.Changed();
   // The server lists run ends until they are acknowledged. Without a delay, a
   // poll would be answered at once with the same ends.
   constexpr Millis RecordDelay{25};
   if (RecordedUpTo < ReceivedUpTo)
     schedulePoll(RecordDelay);
+  else if (RenewalsBarred)
+    schedulePoll(Options.RetryDelay);
   else
     pollIfNeeded();
 }
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -1,8 +1,11 @@
 // Keys of the jobs topic. With the id of a job: "j/" submission, "s/" state,
 // "c/" cancellation. With the id of an entry VM: "v/" address for peers, "w/"
-// the same of one that loads all jobs.
+// the same of one that loads all jobs, "m/" that it writes lease ends. With the
+// id of a backend server: "l/" end of the leases on it.
 #include "citrongap/control/work_registry.h"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace citrongap {
@@ -12,6 +15,8 @@
 std::string cancelKey(const WorkId &id) { return "c/" + id.str(); }
 std::string peerKey(const EntryVmId &id) { return "v/" + id.str(); }
 std::string holderKey(const EntryVmId &id) { return "w/" + id.str(); }
+std::string leaseEndKey(const BackendServerId &id) { return "l/" + id.str(); }
+std::string leaseEndWriterKey(const EntryVmId &id) { return "m/" + id.str(); }
 std::string keyBeforePeers() { return "u"; }
 
 void WorkRegistry::apply(const KeyedRecord &record) {
@@ -19,6 +24,14 @@
   if (slash != 1)
     return;
   const char kind = record.Key[0];
+  if (kind == 'l') {
+    applyLeaseEnd(BackendServerId(record.Key.substr(2)), record);
+    return;
+  }
+  if (record.Value && (kind == 'v' || kind == 'm'))
+    noteVm(EntryVmId(record.Key.substr(2)), kind == 'm');
+  if (kind == 'm')
+    return;
   if (kind == 'v' || kind == 'w') {
     const auto &onAddress = kind == 'v' ? OnPeer : OnHolder;
     if (record.Value && onAddress)
@@ -61,6 +74,48 @@
   }
 }
 
+void WorkRegistry::applyLeaseEnd(const BackendServerId &id,
+                                 const KeyedRecord &record) {
+  LeaseEnds.erase(id);
+  if (!record.Value)
+    return;
+  const std::string &text = *record.Value;
+  LeaseEnd end{0, monoNow()};
+  const auto read =
+      std::from_chars(text.data(), text.data() + text.size(), end.StartedAtMs);
+  if (read.ec == std::errc() && read.ptr == text.data() + text.size())
+    LeaseEnds.emplace(id, end);
+}
+
+void WorkRegistry::noteVm(const EntryVmId &id, bool writesLeaseEnds) {
+  bool &writes = Vms[id];
+  writes = writes || writesLeaseEnds;
+  const bool all = std::all_of(Vms.begin(), Vms.end(),
+                               [](const auto &it) { return it.second; });
+  if (!all)
+    AllWriteSince.reset();
+  else if (!AllWriteSince)
+    AllWriteSince = monoNow();
+}
+
+std::optional<MonoTime>
+WorkRegistry::leasesEndFrom(const ServerIncarnation &server) const {
+  const auto it = LeaseEnds.find(server.Id);
+  if (it == LeaseEnds.end() || it->second.StartedAtMs != server.StartedAtMs)
+    return std::nullopt;
+  // An owner of an earlier build may have renewed leases until then.
+  return std::max(it->second.ReadAt, AllWriteSince.value_or(MonoTime::max()));
+}
+
+std::vector<BackendServerId>
+WorkRegistry::leaseEndsReadBefore(MonoTime at) const {
+  std::vector<BackendServerId> out;
+  for (const auto &[id, end] : LeaseEnds)
+    if (end.ReadAt < at)
+      out.push_back(id);
+  return out;
+}
+
 void WorkRegistry::remove(char kind, const WorkId &id) {
   const auto found = Entries.find(id);
   if (found == Entries.end())
@@ -93,6 +148,9 @@
 }
 
 std::size_t WorkRegistry::removeEndedExcept(const std::set<std::string> &keys) {
+  std::erase_if(LeaseEnds, [&](const auto &it) {
+    return !keys.contains(leaseEndKey(it.first));
+  });
   for (auto &[id, entry] : Entries)
     entry.Unfound = !keys.contains(specKey(id)) && !keys.contains(stateKey(id));
   return std::erase_if(Entries, [](const auto &it) {
