Tests of late polls and lost servers share their steps; an append is moved

No check changes: the two cases of late polls at a server's next life ran the same steps, as did those of a server that is cut off. The last part of a round was copied into its append, and the removal of old lease ends had a limit of its own above that of the call it goes into.

--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -125,8 +125,8 @@
   /// later owner that the leases end.
   void barRenewals() { RenewalsBarred = true; }
   void allowRenewals();
-  /// Leases may end and this is not recorded yet: the server is unreachable,
-  /// and none lasts longer than one that would be requested now.
+  /// The server is unreachable and has runs, all of whose leases end before one
+  /// that would be requested now, and renewals are not barred yet.
   bool leaseEndIsDue() const;
   /// Leases could be renewed, but for barRenewals().
   bool awaitsRenewals() const {
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -242,14 +242,18 @@
     }
     return most;
   }
-  /// The job runs on "i-1", which is lost, and so is the owner somewhat later;
-  /// "i-2" is free. Returns after the next owner has taken over.
-  void loseServerAndOwner() {
+  /// The job runs on "i-1", which is cut off; "i-2" is free.
+  void cutOffServer() {
     BOOST_TEST(submit("vm-2") == "accepted");
     runFor(Millis(60));
     BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
     Store.put(Servers, {"i-2", "ready"});
     Fleet.at("i-1").Unreachable = true;
+  }
+  /// The same, and somewhat later the owner is lost. Returns after the next one
+  /// has taken over.
+  void loseServerAndOwner() {
+    cutOffServer();
     runFor(Millis(250));
     Store.put(Servers, {"i-1", std::nullopt});
     kill("vm-1");
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -16,7 +16,7 @@
 constexpr Millis RoundDelay{2};
 /// Ended jobs are kept 30 s longer than required, so this may be coarse.
 constexpr Millis CleanupInterval{10000};
-/// The end of the leases on a server is of use for one lease only.
+/// Several times the longest lease, after which the record is of no use.
 constexpr Millis LeaseEndRetention{60000};
 /// Even 1,500 such short records are far below the limit of one store call.
 constexpr std::size_t MaxTombstonesPerAppend = 500;
@@ -294,18 +294,19 @@
   AppendInFlight = true;
   std::vector<std::vector<KeyedRecord>> calls =
       splitForAppends(std::move(records), Options.Appender.MaxBatchBytes);
-  const std::vector<KeyedRecord> last = std::move(calls.back());
+  std::vector<KeyedRecord> last = std::move(calls.back());
   calls.pop_back();
   for (std::vector<KeyedRecord> &it : calls)
     Appender->append(std::move(it), [this](AppendOutcome outcome) {
       if (outcome != AppendOutcome::Appended)
         onUnrecorded();
     });
-  Appender->append(last, [this, round = std::move(round),
-                          received = std::move(received),
-                          renewable = std::move(renewable)](AppendOutcome it) {
-    onRecorded(round, received, renewable, it);
-  });
+  Appender->append(std::move(last),
+                   [this, round = std::move(round),
+                    received = std::move(received),
+                    renewable = std::move(renewable)](AppendOutcome it) {
+                     onRecorded(round, received, renewable, it);
+                   });
 }
 
 void PodController::onUnrecorded() {
@@ -374,11 +375,10 @@
     tombstones.push_back({stateKey(id), std::nullopt});
     tombstones.push_back({cancelKey(id), std::nullopt});
   }
-  // Without it, a later owner waits longer, and needs not: the leases have
-  // ended.
+  // The leases have ended long since.
   for (const BackendServerId &it :
        Registry.leaseEndsReadBefore(monoNow() - LeaseEndRetention))
-    if (tombstones.size() < 4 * MaxTombstonesPerAppend)
+    if (tombstones.size() < MaxTombstonesPerAppend)
       tombstones.push_back({leaseEndKey(it), std::nullopt});
   if (!tombstones.empty())
     Appender->append(std::move(tombstones), nullptr);
--- a/packages/control/src/server_lease_test.cpp
+++ b/packages/control/src/server_lease_test.cpp
@@ -109,11 +109,7 @@
 // Guards against a new owner that takes leases for ended that were renewed
 // after the server had become reachable again.
 BOOST_FIXTURE_TEST_CASE(renewals_after_an_outage_are_awaited, LongLeaseSite) {
-  BOOST_TEST(submit("vm-1") == "accepted");
-  runFor(Millis(60));
-  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
-  Store.put(Servers, {"i-2", "ready"});
-  Fleet.at("i-1").Unreachable = true;
+  cutOffServer();
   runFor(Millis(400));
   Fleet.at("i-1").Unreachable = false;
   BOOST_TEST(mostRunsWithin(Millis(900)) == 1U);
--- a/packages/control/src/server_rebirth_test.cpp
+++ b/packages/control/src/server_rebirth_test.cpp
@@ -11,9 +11,28 @@
 struct RebirthSite : LeaseSite {
   using LeaseSite::LeaseSite;
   /// "i-1" starts anew and registers.
-  void restart() {
-    Fleet.restart("i-1", 5);
-    Store.put(Servers, {"i-1", "ready 5"});
+  void restart(int startedAt = 5) {
+    Fleet.restart("i-1", startedAt);
+    Store.put(Servers, {"i-1", "ready " + std::to_string(startedAt)});
+  }
+  /// A poll of "i-1" with a lease is carried out by its next life, which is cut
+  /// off by then.
+  void checkLatePollAtTheNextLife(int startedAt) {
+    BOOST_TEST(submit("vm-1") == "accepted");
+    runFor(Millis(60));
+    Fleet.at("i-1").DelayPolls = true;
+    runFor(Millis(30));
+    BOOST_REQUIRE(!Fleet.at("i-1").DelayedPolls.empty());
+    restart(startedAt);
+    Fleet.at("i-1").DelayPolls = false;
+    runFor(Millis(100));
+    BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
+    Fleet.at("i-1").Unreachable = true;
+    Store.put(Servers, {"i-2", "ready"});
+    runFor(Millis(250));
+    Fleet.deliverDelayedPolls("i-1");
+    BOOST_TEST(mostRunsWithin(Millis(900)) == 1U);
+    BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
   }
 };
 
@@ -93,21 +112,7 @@
 // Guards against a poll for the life before that the next life carries out
 // late: its lease outlives the end that the owner counts on.
 BOOST_AUTO_TEST_CASE(late_poll_at_the_next_life_does_not_outlive_the_lease) {
-  BOOST_TEST(submit("vm-1") == "accepted");
-  runFor(Millis(60));
-  Fleet.at("i-1").DelayPolls = true;
-  runFor(Millis(30));
-  BOOST_REQUIRE(!Fleet.at("i-1").DelayedPolls.empty());
-  restart();
-  Fleet.at("i-1").DelayPolls = false;
-  runFor(Millis(100));
-  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
-  Fleet.at("i-1").Unreachable = true;
-  Store.put(Servers, {"i-2", "ready"});
-  runFor(Millis(250));
-  Fleet.deliverDelayedPolls("i-1");
-  BOOST_TEST(mostRunsWithin(Millis(900)) == 1U);
-  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+  checkLatePollAtTheNextLife(5);
 }
 
 // The same, with a next life whose token is that of the life before, since the
@@ -115,26 +120,10 @@
 BOOST_AUTO_TEST_CASE(
     late_poll_under_the_last_token_does_not_outlive_the_lease) {
   for (int n = 0; n < 20; ++n) {
-    Fleet.restart("i-1", 10 + n);
-    Store.put(Servers, {"i-1", "ready " + std::to_string(10 + n)});
+    restart(10 + n);
     runFor(Millis(60));
   }
-  BOOST_TEST(submit("vm-1") == "accepted");
-  runFor(Millis(60));
-  Fleet.at("i-1").DelayPolls = true;
-  runFor(Millis(30));
-  BOOST_REQUIRE(!Fleet.at("i-1").DelayedPolls.empty());
-  Fleet.restart("i-1", 50);
-  Store.put(Servers, {"i-1", "ready 50"});
-  Fleet.at("i-1").DelayPolls = false;
-  runFor(Millis(100));
-  BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
-  Fleet.at("i-1").Unreachable = true;
-  Store.put(Servers, {"i-2", "ready"});
-  runFor(Millis(250));
-  Fleet.deliverDelayedPolls("i-1");
-  BOOST_TEST(mostRunsWithin(Millis(900)) == 1U);
-  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+  checkLatePollAtTheNextLife(50);
 }
 
 // Guards against a task that stays idle after its lease has ended, because its
