--- a/review/lib-2/site2.py
+++ b/review/lib-2/site2.py
@@ -58,7 +58,7 @@
         self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, IP, self.port, limit=1 << 22)
+        self.server = await asyncio.start_server(self.serve, IP, self.port, limit=1 << 22, backlog=512)
 
     def stop(self):
         """As a process that has ended: the port is closed, channels break."""
@@ -151,8 +151,10 @@
 
 class Store:
     """One store with linearizable answers that loses nothing. `down` is None,
-    or "busy" (503 to every call)."""
+    "busy" (503 to every call) or "silent" (no answers, nothing is done)."""
     PARTS = 24
+    lost_share = 0.0   # of the writes: done, the answer is lost
+    late_share = 0.0   # of the writes: no answer, done 1 to 6 s later
 
     def __init__(self, port, answer_s=0.002):
         self.topics = {}
@@ -177,7 +179,20 @@
     async def handle(self, method, target, headers, body):
         if self.down == "busy":
             return 503, {}
+        if self.down == "silent":
+            return None
         await asyncio.sleep(self.answer_s)
+        if method == "POST" and random.random() < self.late_share:
+            asyncio.create_task(self.carry_out_late(target, body))
+            return None
+        answer = await self.carry_out(target, body)
+        return None if method == "POST" and random.random() < self.lost_share else answer
+
+    async def carry_out_late(self, target, body):
+        await asyncio.sleep(random.uniform(1, 6))
+        await self.carry_out(target, body)
+
+    async def carry_out(self, target, body):
         url = urlsplit(target)
         query = {key: value[0] for key, value in parse_qs(url.query, keep_blank_values=True).items()}
         name = url.path.rsplit("/", 1)[-1]
@@ -349,6 +364,10 @@
         self.state = "ready"
         self.sequence = 0
         self.fails_all = False
+        self.cut = False          # calls get lost on the way
+        self.late_share = 0.0     # of the orders: no answer, carried out 2 to 12 s later
+        self.lost_share = 0.0     # of the calls: carried out, the answer is lost
+        self.later = []
 
     async def start(self):
         self.born = int(time.time() * 1000)
@@ -407,6 +426,33 @@
                 self.fleet.end_gang(task, run.number, "done" if how == "done" else "broken")
 
     async def handle(self, method, target, headers, body):
+        if self.cut:
+            return None
+        if "hold" not in target and random.random() < self.late_share:
+            self.later.append(asyncio.create_task(self.carry_out_late(self.born, target, headers, body)))
+            return None
+        answer = await self.carry_out(target, headers, body)
+        return None if self.cut or random.random() < self.lost_share else answer
+
+    async def carry_out_late(self, born, target, headers, body):
+        await asyncio.sleep(random.uniform(2, 12))
+        if self.up and self.born == born:
+            self.fleet.log("carries out late", self.id, target, 0, body.decode()[:90])
+            await self.carry_out(target, headers, body)
+
+    def crash(self):
+        """All that runs is lost. start() begins the next life."""
+        self.up = False
+        self.http.stop()
+        for task, run in list(self.runs.items()):
+            self.fleet.log("loses", self.id, task, run.number, "")
+            self.fleet.on_end(self, task, run, "lost")
+        lost, self.runs = self.runs, {}
+        for task, run in lost.items():
+            if run.program.get("gang", 1) > 1:
+                self.fleet.end_gang(task, run.number, "broken")
+
+    async def carry_out(self, target, headers, body):
         path = urlsplit(target).path
         if path == "/health":
             return 200, {}
@@ -741,14 +787,17 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(case, scenario, limit_s=115, **shape):
+def play(case, scenario, limit_s=115, prepare=None, **shape):
     """Runs `scenario(site, trouble)`, which returns a text if the rule was
-    broken, and None if it held. Exits with 1, 0, or 2 if it couldn't run."""
+    broken, and None if it held. Exits with 1, 0, or 2 if it couldn't run.
+    `prepare(site)` changes the deployment before it starts."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
         site = Site(case, **shape)
         try:
+            if prepare:
+                prepare(site)
             async with asyncio.timeout(limit_s):
                 if not await site.start():
                     site.quiet = False
