--- a/review/lib-2/site2.py
+++ b/review/lib-2/site2.py
@@ -133,6 +133,7 @@
 class Topic:
     def __init__(self):
         self.records = []
+        self.first = 0
         self.newest = {}
         self.producers = {}
         self.grown = asyncio.Event()
@@ -165,6 +166,20 @@
         self.answer_s = answer_s
         self.on_append = None
 
+    def forget(self):
+        """The history is dropped; the newest record of each key stays."""
+        for it in self.topics.values():
+            it.first = len(it.records)
+
+    def rebalance(self, name):
+        """All partitions are dealt anew at once."""
+        group = self.group(name)
+        group["generation"] += 1
+        members = sorted(group["members"])
+        random.shuffle(members)
+        for n, part in enumerate(sorted(group.get("target", {}))):
+            group["target"][part] = group["holder"][part] = members[n % len(members)] if members else None
+
     def topic(self, name, part=0):
         return self.topics.setdefault((name, part), Topic())
 
@@ -176,6 +191,19 @@
         it.grown.set()
         it.grown = asyncio.Event()
 
+    def door(self, port):
+        """Another address of the store, for one entry VM; `faults` may be
+        "busy" or "silent" there."""
+        faults = {"mode": None}
+
+        async def handle(method, target, headers, body):
+            if faults["mode"] == "busy":
+                return 503, {}
+            if faults["mode"] == "silent":
+                return None
+            return await self.handle(method, target, headers, body)
+        return HttpServer(port, handle), faults
+
     async def handle(self, method, target, headers, body):
         if self.down == "busy":
             return 503, {}
@@ -247,6 +275,8 @@
     async def read(self, query):
         it = self.topic(query["topic"], int(query.get("part", 0)))
         start = int(query["from"])
+        if start < it.first:
+            return 410, {"first": it.first}
         wait = min(int(query.get("wait_ms", 0)), 30000) / 1000
         end = now() + wait
         while len(it.records) <= start and now() < end:
@@ -260,7 +290,7 @@
             if out and room < 0:
                 break
             out.append(struct.pack(">I", len(raw)) + raw)
-        return 200, struct.pack(">QQ", len(it.records), 0) + b"".join(out)
+        return 200, struct.pack(">QQ", len(it.records), it.first) + b"".join(out)
 
     def read_newest(self, query):
         it = self.topic(query["topic"], int(query.get("part", 0)))
@@ -364,6 +394,7 @@
         self.state = "ready"
         self.sequence = 0
         self.fails_all = False
+        self.drain_until = 0.0
         self.cut = False          # calls get lost on the way
         self.late_share = 0.0     # of the orders: no answer, carried out 2 to 12 s later
         self.lost_share = 0.0     # of the calls: carried out, the answer is lost
@@ -388,7 +419,9 @@
                 "slots": 8, "state": self.state, "cold_remaining_ms": 0,
                 "capacity": {"cpu": self.capacity[0], "requested_memory_mb": self.capacity[1], "gpu": self.capacity[2]},
                 "labels": [self.kind, self.rack], "clock_ms": self.clock(), "sequence": self.sequence,
-                "born": self.born, "machine": "m-" + self.id}
+                "born": self.born, "machine": "m-" + self.id,
+                **({"drain_remaining_ms": max(0, int((self.drain_until - now()) * 1000))}
+                   if self.state == "draining" else {})}
 
     def free(self):
         used = [sum(it.program["need"][n] for it in self.runs.values()) for n in range(3)]
@@ -554,6 +587,8 @@
         it = job["steps"][int(step)]
         need = (it.get("cpu", 0), it.get("requested_memory_mb", 0), it.get("gpu", 0))
         out = {"s": it["real_s"], "how": "done", "need": need, "gang": it["count"] if it.get("gang") else 1}
+        if job.get("long_running"):
+            out["lasts"] = True
         return out
 
     def log(self, what, worker, task, run, how):
@@ -629,7 +664,8 @@
 class EntryVm:
     def __init__(self, site, name, zone):
         self.site, self.name, self.zone = site, name, zone
-        self.front, self.ready, self.control, self.metrics = free_ports(4)
+        self.front, self.ready, self.control, self.metrics, self.store_port = free_ports(5)
+        self.door, self.store_faults = site.store.door(self.store_port)
         self.settings = site.folder / f"{name}.ini"
         self.child = None
 
@@ -640,7 +676,7 @@
                                        "control": f"{IP}:{self.control}"},
                   "internal_port_range": [self.metrics, self.metrics], "seed_nodes": seeds,
                   "limits": {"cpu_share": 0.25, "memory_mb": 260, "file_descriptors": 4100, "link_mbps": 1000.0},
-                  "platform": {"address": f"{IP}:{self.site.store.port}", "min_ttl_ms": 1000},
+                  "platform": {"address": f"{IP}:{self.store_port}", "min_ttl_ms": 1000},
                   "heartbeat_interval_ms": 1500, "bounds": BOUNDS}
         self.settings.write_text(fill((ROOT / role["template"]).read_text(), fields))
 
@@ -715,6 +751,8 @@
 
     async def start(self):
         await self.store.http.start()
+        for it in self.vms:
+            await it.door.start()
         for it in self.fleet.workers:
             await it.start()
         self.publish()
@@ -778,6 +816,8 @@
                 it.child.wait()
                 it.out.close()
         self.store.http.stop()
+        for it in self.vms:
+            it.door.stop()
         for it in self.fleet.workers:
             it.http.stop()
         self.record.close()
