--- a/review/lib-2/site2.py
+++ b/review/lib-2/site2.py
@@ -29,15 +29,23 @@
     return time.monotonic()
 
 
+TAKEN = set()
+
+
 def free_ports(count):
-    held = []
-    for _ in range(count):
-        it = socket.socket()
-        it.bind((IP, 0))
-        held.append(it)
-    ports = [it.getsockname()[1] for it in held]
-    for it in held:
-        it.close()
+    """Ports below those that the system gives to outgoing channels."""
+    ports, chance = [], random.SystemRandom()
+    while len(ports) < count:
+        port = chance.randrange(15000, 32000)
+        with socket.socket() as it:
+            it.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                it.bind((IP, port))
+            except OSError:
+                continue
+        if port not in TAKEN:
+            TAKEN.add(port)
+            ports.append(port)
     return ports
 
 
@@ -389,6 +397,7 @@
     def __init__(self, fleet, name, zone, rack, port, capacity, kind="a"):
         self.fleet, self.id, self.zone, self.rack, self.port, self.kind = fleet, name, zone, rack, port, kind
         self.capacity = capacity
+        self.service = fleet.service
         self.http = HttpServer(port, self.handle)
         self.up = False
         self.state = "ready"
@@ -398,6 +407,7 @@
         self.cut = False          # calls get lost on the way
         self.late_share = 0.0     # of the orders: no answer, carried out 2 to 12 s later
         self.lost_share = 0.0     # of the calls: carried out, the answer is lost
+        self.cross_life = False   # late orders may reach the worker's next life
         self.later = []
 
     async def start(self):
@@ -415,7 +425,7 @@
 
     def entry(self):
         self.sequence += 1
-        return {"service": self.fleet.service, "address": f"{IP}:{self.port}", "zone": self.zone, "version": "v1",
+        return {"service": self.service, "address": f"{IP}:{self.port}", "zone": self.zone, "version": "v1",
                 "slots": 8, "state": self.state, "cold_remaining_ms": 0,
                 "capacity": {"cpu": self.capacity[0], "requested_memory_mb": self.capacity[1], "gpu": self.capacity[2]},
                 "labels": [self.kind, self.rack], "clock_ms": self.clock(), "sequence": self.sequence,
@@ -469,7 +479,7 @@
 
     async def carry_out_late(self, born, target, headers, body):
         await asyncio.sleep(random.uniform(2, 12))
-        if self.up and self.born == born:
+        if self.up and (self.born == born or self.cross_life):
             self.fleet.log("carries out late", self.id, target, 0, body.decode()[:90])
             await self.carry_out(target, headers, body)
 
@@ -742,8 +752,9 @@
         self.version += 3
         self.store.put("keyed.op", "config", {
             "version": self.version, "routes": self.routes,
-            "services": [{"name": self.fleet.service, "health_path": "/health", "max_connections": 64,
-                          "protocol": "h1", "tls_enabled": False, "admission_check": True, "spare": False}],
+            "services": [{"name": name, "health_path": "/health", "max_connections": 64, "protocol": "h1",
+                          "tls_enabled": False, "admission_check": True, "spare": False}
+                         for name in sorted({it.service for it in self.fleet.workers})],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000},
             "tenants": [{"name": name, "api_keys": [key], "priority": 1, "guaranteed": {"gpu": 16}}
@@ -841,8 +852,7 @@
             async with asyncio.timeout(limit_s):
                 if not await site.start():
                     site.quiet = False
-                    site.note("result: couldn't run, the entry VMs aren't ready")
-                    return 2
+                    raise CouldNotRun("the entry VMs aren't ready")
                 broken = await scenario(site, trouble)
                 site.quiet = False
                 site.note(f"result: {'the rule was broken: ' + broken if broken else 'the rule held'}")
