--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,4 +1,4 @@
-"""Lasting jobs are sent. One worker fails all that it starts for 6.5 s, then it is sound again."""
+"""A lasting job runs on each worker; two large gangs come that do not fit beside it; then small jobs come."""
 import asyncio
 import sys
 from pathlib import Path
@@ -7,59 +7,44 @@
 sys.path.insert(0, str(CASE.parent / "lib-2"))
 from site2 import CouldNotRun, now, play  # noqa: E402
 
-GREY_S = 6.5          # largest length of the site
-CALM_S = 7            # the rule's 3 s and the 4 s before them
-AFTER_RUN_S = 6       # the rule: from 6 s after a work item's last run
-
-
-def lasting(**more):
-    return [{"count": 1, "cpu": 1000, "requested_memory_mb": 100, "gpu": 1, "estimated_ms": 1000, "real_s": 10000,
-             **more}]
-
-
-def prepare(site):
-    site.fleet.workers[0].kind = "b"   # 1 of 12: a share of 0.083
+FINISH_S = 14         # bound of the site
+STILL_S = 3           # the rule's span with nothing running
+BASE = {"cpu": 1000, "requested_memory_mb": 100}
 
 
 async def scenario(site, trouble):
-    special = site.fleet.workers[0]
-    jobs = []
-    for n in range(4):
-        work, accepted = await site.submit("batch", lasting(requirements="b"), long_running=True)
-        jobs.append(work)
-        if not accepted:
-            raise CouldNotRun("a job was not accepted")
-    other, _ = await site.submit("batch", lasting(), long_running=True)
+    workers = site.fleet.workers
+    _, accepted = await site.submit(
+        "batch", [{**BASE, "count": len(workers), "gpu": 3, "anti_affinity": 1, "estimated_ms": 1000,
+                   "real_s": 10000}], long_running=True)
     await asyncio.sleep(4)
-    if len(special.runs) < 4:
-        raise CouldNotRun("the work items are not at work")
-    site.note(f"4 work items that last are at work on {special.id}, the only worker of kind b")
+    if not accepted or len(site.fleet.starts) < len(workers):
+        raise CouldNotRun("the lasting job is not at work")
+    site.note(f"a work item that lasts is at work on each of {len(workers)} workers, with 3 of 8 GPUs")
     if trouble:
-        site.note(f"worker {special.id} fails all that it runs and starts")
-        special.fails_all = True
-        for run in special.runs.values():
-            run.program.update(s=0.0, how="failed")
-    await asyncio.sleep(GREY_S)
-    special.fails_all = False
-    site.note(f"worker {special.id} is sound again")
-    sound = now()
-    await asyncio.sleep(max(CALM_S, AFTER_RUN_S) + 20)
-    begun, since = len(site.fleet.starts), now()
-    while now() < since + CALM_S:
+        for _ in range(2):
+            await site.submit("batch", [{**BASE, "count": 6, "gpu": 8, "gang": True, "estimated_ms": 8000,
+                                         "real_s": 8}])
+    await asyncio.sleep(8)
+    jobs = []
+    for _ in range(12):
+        jobs.append(await site.submit("extra", [{**BASE, "count": 1, "gpu": 1, "estimated_ms": 1000, "real_s": 1}]))
+        await asyncio.sleep(0.5)
+    site.note("the traffic ends")
+    await asyncio.sleep(FINISH_S)
+    begun, still_since = len(site.fleet.starts), now()
+    while now() < still_since + STILL_S + 12:
         await asyncio.sleep(0.1)
-    at_work = {task.split(".")[0] for it in site.fleet.workers for task in it.runs}
-    away = [work for work in jobs if work not in at_work]
-    last = {work: max((t for t, _, task, _, _ in site.fleet.finished if task.startswith(work)), default=sound)
-            for work in away}
-    site.note(f"{now() - sound:.0f} s after the disturbance {len(away)} of {len(jobs)} work items that last are not "
-              f"at work, the last run of each ended {[round(now() - it, 1) for it in last.values()]} s ago; "
-              f"free on {special.id}: {special.free()}; states: {[await site.state('batch', it) for it in away]}")
-    if not away:
+    idle = begun == len(site.fleet.starts)
+    waiting = [work for work, accepted in jobs if accepted and await site.state("extra", work) == "queued"]
+    free = sum(it.free()[2] for it in workers)
+    site.note(f"{len(waiting)} of {len(jobs)} small jobs are queued; {free} of {8 * len(workers)} GPUs are free, "
+              f"{workers[0].free()} on each worker; nothing has started for {now() - still_since:.0f} s: {idle}")
+    if not waiting:
         return None
-    if begun != len(site.fleet.starts):
+    if not idle:
         raise CouldNotRun("work still starts")
-    return (f"{len(away)} of {len(jobs)} work items that last are not at work {now() - sound:.0f} s after the "
-            f"disturbance, with {special.free()[2]} GPUs free on their worker")
+    return f"{len(waiting)} of {len(jobs)} accepted jobs of one GPU wait, with {free} of {8 * len(workers)} GPUs free"
 
 
-play(CASE, scenario, prepare=prepare)
+play(CASE, scenario)
--- a/review/lib-2/site2.py
+++ b/review/lib-2/site2.py
@@ -19,7 +19,7 @@
 import time
 import tomllib
 from pathlib import Path
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 IP = "127.0.0.1"
