--- a/review/lib-2/site2.py
+++ b/review/lib-2/site2.py
@@ -838,13 +838,18 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(case, scenario, limit_s=115, prepare=None, **shape):
+def play(case, scenario, limit_s=110, prepare=None, **shape):
     """Runs `scenario(site, trouble)`, which returns a text if the rule was
     broken, and None if it held. Exits with 1, 0, or 2 if it couldn't run.
     `prepare(site)` changes the deployment before it starts."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
+        # A signal to the script ends it like any other failure, so that the
+        # processes that it started end too.
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         site = Site(case, **shape)
         try:
             if prepare:
@@ -863,6 +868,10 @@
             site.note(f"result: couldn't run, {error or 'out of time'}")
             print(f"couldn't run: {error or 'out of time'}")
             return 2
+        except asyncio.CancelledError:
+            site.quiet = False
+            site.note("result: couldn't run, ended by a signal")
+            return 2
         finally:
             await site.stop()
     sys.exit(asyncio.run(main()))
