A probe ends with its run, and with no other

Cause: "a probe is in progress" was a mark of the server that only reports cleared. A release without a report, at the end of a lease, left it set for good. The stop or refusal of any older run on the server cleared it, so that a second probe started beside the first.

Change: the run is marked as the probe, and its release ends the probe. Health is told the outcome before the release. A gauge of servers in quarantine and probe= in the line of a start show both from now on.

--- a/packages/control/include/citrongap/control/control_metrics.h
+++ b/packages/control/include/citrongap/control/control_metrics.h
@@ -58,6 +58,8 @@
   std::uint64_t TakeOvers = 0;
   /// Times that reading a topic began to fail.
   std::uint64_t StoreLosses = 0;
+  /// Of the pod's owner; 0 elsewhere.
+  std::uint32_t QuarantinedServers = 0;
   SpeedMetrics Speeds;
 
   std::string text() const;
--- a/packages/control/src/control_metrics_test.cpp
+++ b/packages/control/src/control_metrics_test.cpp
@@ -9,6 +9,7 @@
   ControlMetrics metrics;
   for (const int ms : {5, 6, 20000})
     metrics.StartWait[1].observe(Millis(ms));
+  metrics.QuarantinedServers = 2;
   const std::string text = metrics.text();
   const auto has = [&](const char *line) {
     return text.find(line) != std::string::npos;
@@ -17,6 +18,7 @@
   BOOST_TEST(has("citrongap_start_wait_ms_bucket{rank=\"1\",le=\"10\"} 2\n"));
   BOOST_TEST(has("citrongap_start_wait_ms_bucket{rank=\"1\",le=\"+Inf\"} 3\n"));
   BOOST_TEST(has("citrongap_take_overs_total 0\n"));
+  BOOST_TEST(has("citrongap_servers_quarantined 2\n"));
   BOOST_TEST(has("citrongap_done_after_replacement_total 0\n"));
 }
 
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -176,6 +176,7 @@
     Appender->OnRetry = nullptr;
   }
   RetiredPlanner = std::move(Planner);
+  Metrics.QuarantinedServers = 0;
   RetiredAppender = std::move(Appender);
 }
 
@@ -266,6 +267,7 @@
   round.Stops.clear();
   reportSpeeds();
   Metrics.Losses = Planner->losses();
+  Metrics.QuarantinedServers = Planner->quarantinedServers();
   recordRound(std::move(round));
 }
 
@@ -355,10 +357,10 @@
       continue;
     Log("order", "start",
         "task={} run={} server={} resumed={} rank={} waited_ms={} near={} "
-        "late={} speed={:.2f} needed={:.2f} list_age_ms={}",
+        "late={} speed={:.2f} needed={:.2f} probe={} list_age_ms={}",
         it.Task.str(), it.Run, it.Server.Id.str(), !it.Checkpoint.empty(),
         it.Rank, it.Waited.count(), it.PreferredPlacement, it.ExpectedLate,
-        it.Speed, it.NeededSpeed, listAge().count());
+        it.Speed, it.NeededSpeed, it.Probe, listAge().count());
     Metrics.StartWait[it.Rank].observe(it.Waited);
     if (it.SpeedWait) {
       ++Metrics.Speeds.WaitedStarts;
--- a/packages/policy/include/citrongap/policy/server_health.h
+++ b/packages/policy/include/citrongap/policy/server_health.h
@@ -65,7 +65,7 @@
   /// The server is quarantined and may run one repeatable probe task now.
   bool probeDue(const BackendServerId &server, MonoTime now) const;
   void startProbe(const BackendServerId &server);
-  /// The probe ended without a result (cancelled or revoked).
+  /// The probe ended without a result, or its result is recorded.
   void abortProbe(const BackendServerId &server);
 
   void removeServer(const BackendServerId &server);
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -63,6 +63,8 @@
   /// Time that the start waited for a server that is fast enough; empty if it
   /// did not.
   std::optional<Millis> SpeedWait = std::nullopt;
+  /// The server is in quarantine; its next runs depend on this one.
+  bool Probe = false;
 };
 
 /// Order to stop a run.
@@ -277,6 +279,7 @@
   const ServerTable &servers() const { return Servers; }
   /// Work lost since this planner was created.
   const LostWork &losses() const { return Losses; }
+  std::uint32_t quarantinedServers() const { return Health.quarantinedCount(); }
   /// Removes ended jobs that have no placed run and no unread change; returns
   /// their ids.
   std::vector<WorkId> removeEndedWork();
@@ -327,6 +330,9 @@
   /// All runs of the incarnation have ended.
   void releaseAll(const ServerIncarnation &incarnation, LossCause cause,
                   MonoTime now);
+  /// Ends the probe that the released run was, unless another member of its
+  /// gang is still part of it.
+  void endProbe(TaskRecord &record);
   void requestStop(const TaskName &task, TaskRecord &record, const char *reason,
                    LossCause cause);
   // Lost work: pod_planner_losses.cpp.
--- a/packages/workload/include/citrongap/workload/work_state.h
+++ b/packages/workload/include/citrongap/workload/work_state.h
@@ -86,6 +86,8 @@
   int PaceFromPercent = -1;
   MonoTime PaceFrom;
   bool PaceMeasured = false;
+  /// The current run probes a server in quarantine.
+  bool Probe = false;
   /// Runs stopped because they reported no progress.
   std::uint32_t StallStops = 0;
 };
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -297,6 +297,7 @@
       slot->Stopping -= allocation;
   }
   Placed[record.Server].erase(task);
+  endProbe(record);
   record.Stage = record.EarlierRunDone ? TaskStage::Done : TaskStage::Waiting;
   record.Confirmed = false;
   record.StopRequested = false;
@@ -306,6 +307,15 @@
   return loss;
 }
 
+void PodPlanner::endProbe(TaskRecord &record) {
+  if (!std::exchange(record.Probe, false))
+    return;
+  for (const TaskName &it : Placed[record.Server])
+    if (findTask(it)->Probe)
+      return;
+  Health.abortProbe(record.Server.Id);
+}
+
 void PodPlanner::requestStop(const TaskName &task, TaskRecord &record,
                              const char *reason, LossCause cause) {
   if (record.Stage != TaskStage::Placed)
--- a/packages/workload/src/pod_planner_reports.cpp
+++ b/packages/workload/src/pod_planner_reports.cpp
@@ -31,8 +31,6 @@
     return;
   if (cause == StartRefusal::Unhealthy)
     Health.recordFailure(server.Id, now);
-  else
-    Health.abortProbe(server.Id);
   if (ServerSlot *slot = Servers.find(server))
     slot->NoStartsBefore = now + Options.RefusalRetryDelay;
   release(task, *record, now, std::nullopt);
@@ -97,24 +95,23 @@
   // An end is reported of runs that have started only.
   record->Confirmed = true;
   keepLastCheckpoint(task, *record, outcome, checkpoint, now);
+  // Before the release, which ends a probe.
+  if (outcome == RunOutcome::Done)
+    Health.recordSuccess(server.Id, now);
+  else if (outcome == RunOutcome::Failed)
+    Health.recordFailure(server.Id, now, task.Work.str());
   const LossCause cause = causeOfEnd(*record, outcome);
   const std::optional<RunLoss> loss = release(
       task, *record, now,
       outcome == RunOutcome::Done ? std::nullopt : std::optional(cause));
   if (outcome == RunOutcome::Done) {
-    Health.recordSuccess(server.Id, now);
     RunTimes.addSample({}, Works.at(task.Work).Spec.Queue.str(), ran.count());
     recordDone(task, wallMs, now);
     settleGang(task);
     return std::nullopt;
   }
-  if (outcome == RunOutcome::Failed) {
-    Health.recordFailure(server.Id, now, task.Work.str());
-    if (!record->EarlierRunDone)
-      countFailure(task, run, wallMs);
-  } else {
-    Health.abortProbe(server.Id);
-  }
+  if (outcome == RunOutcome::Failed && !record->EarlierRunDone)
+    countFailure(task, run, wallMs);
   if (gang)
     stopGang(task, "another member ended", cause);
   settleGang(task);
@@ -171,7 +168,6 @@
     return std::nullopt;
   const LossCause cause = causeOfLoss(server, LossCause::LostServer);
   const std::optional<RunLoss> loss = release(task, *record, now, cause);
-  Health.abortProbe(server.Id);
   if (specOf(task).Gang)
     stopGang(task, "a member is missing", cause);
   settleGang(task);
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -361,7 +361,8 @@
     task.PaceFromPercent = -1;
     task.PaceMeasured = false;
     slot.Free -= spec.allocation();
-    if (Health.quarantined(slot.Entry.Incarnation.Id))
+    task.Probe = Health.quarantined(slot.Entry.Incarnation.Id);
+    if (task.Probe)
       Health.startProbe(slot.Entry.Incarnation.Id);
     const TaskName name{unit.Work, unit.Occurrence, unit.Step, index};
     Placed[task.Server].insert(name);
@@ -369,7 +370,7 @@
                             checkpoint, unit.Rank, now - task.WaitingSince,
                             local, unit.ExpectedLate,
                             view[at[n]].Speed.value_or(0), unit.NeededSpeed,
-                            speedWaitOf(unit, now)});
+                            speedWaitOf(unit, now), task.Probe});
   }
   Changed.insert(unit.Work);
 }
