Any work may probe a server in quarantine once its probe is overdue

Cause: quarantine ends by a successful probe only, and a probe was one task that is neither part of a gang nor the last attempt of its job. Where no such task comes, nothing ends the state; with one attempt a job it is the same while another server could hold the task when empty.

Evidence: of the new tests four failed before (no start on the server at any time), gang_prefers_servers_that_need_no_probe held. Ruled out: the length of the quarantine (5 s, 10 s; the script waits 25 s) and the fault itself (the control starts other work there).

Change: a probe that was due for a second without a taker is overdue, and may be any one unit, a gang with as many members as fit, as a last resort. The end of a gang as done counts for all servers that it probed. A last attempt still keeps off a server for 10 s after its last failure. While single tasks come, decisions are as before.

--- a/packages/policy/include/citrongap/policy/server_health.h
+++ b/packages/policy/include/citrongap/policy/server_health.h
@@ -27,6 +27,8 @@
   double MinRateRatio = 2;
   /// Duration of the first quarantine; doubled by each failed probe.
   Millis FirstQuarantine{30 * 1000};
+  /// A probe that has been due for this long is overdue.
+  Millis ProbeOverdueAfter{10 * 60 * 1000};
 };
 
 /// Tracks the failure rate of each server. A server is quarantined if all of
@@ -64,6 +66,9 @@
   bool succeededRecently(const BackendServerId &server, MonoTime now) const;
   /// The server is quarantined and may run one repeatable probe task now.
   bool probeDue(const BackendServerId &server, MonoTime now) const;
+  /// No work that is preferred as a probe has come: any may be it, or the
+  /// server would be lost to the fleet.
+  bool probeOverdue(const BackendServerId &server, MonoTime now) const;
   void startProbe(const BackendServerId &server);
   /// The probe ended without a result, or its result is recorded.
   void abortProbe(const BackendServerId &server);
--- a/packages/policy/src/server_health.cpp
+++ b/packages/policy/src/server_health.cpp
@@ -172,6 +172,11 @@
          it->second.ProbeAt <= now;
 }
 
+bool ServerHealth::probeOverdue(const BackendServerId &server,
+                                MonoTime now) const {
+  return probeDue(server, now - Options.ProbeOverdueAfter);
+}
+
 void ServerHealth::startProbe(const BackendServerId &server) {
   const auto it = Records.find(server);
   if (it != Records.end() && it->second.Quarantined)
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -148,7 +148,8 @@
   /// attempt of a job.
   ServerHealthOptions Health{.HalfLife = Millis(10000),
                              .MinFailures = 1.5,
-                             .FirstQuarantine = Millis(5000)};
+                             .FirstQuarantine = Millis(5000),
+                             .ProbeOverdueAfter = Millis(1000)};
   /// A server that refused a start gets no other for this long. By then its
   /// list of runs shows what occupies it.
   Millis RefusalRetryDelay{400};
--- a/packages/workload/include/citrongap/workload/vector_packing.h
+++ b/packages/workload/include/citrongap/workload/vector_packing.h
@@ -36,6 +36,8 @@
   std::uint32_t TasksOfStep = 0;
   /// In quarantine: takes one task as a probe, which is not part of a gang.
   bool ProbeOnly = false;
+  /// The probe is overdue: it may be any one request, as a last resort.
+  bool ProbeOverdue = false;
   /// The last run to end here failed, and recently; used as a last resort.
   bool FailedRecently = false;
   /// A run completed or made progress here recently, and none failed since.
@@ -59,7 +61,8 @@
   /// All tasks are placed in the same rack.
   bool OneRack = false;
   AccessLevel Access = AccessLevel::Urgent;
-  /// Excludes quarantined servers and those whose last run failed recently.
+  /// Excludes servers whose last run failed recently, and quarantined ones
+  /// unless their probe is overdue.
   bool ExcludeRecentFailures = false;
   /// Accepts only servers with a recent success or progress.
   bool RequireRecentSuccess = false;
--- a/packages/workload/src/pod_planner_reports.cpp
+++ b/packages/workload/src/pod_planner_reports.cpp
@@ -132,9 +132,12 @@
     // counts for all of them.
     for (std::uint32_t n = 0; n < step.Tasks.size(); ++n) {
       TaskRecord &it = step.Tasks[n];
-      if (it.Stage == TaskStage::Placed)
+      if (it.Stage == TaskStage::Placed) {
+        if (it.Probe)
+          Health.recordSuccess(it.Server.Id, now);
         release({task.Work, task.Occurrence, task.Step, n}, it, now,
                 std::nullopt);
+      }
       it.Stage = TaskStage::Done;
     }
   completeIfDone(task.Work, work, wallMs);
--- a/packages/workload/src/quarantine_test.cpp
+++ b/packages/workload/src/quarantine_test.cpp
@@ -1,4 +1,5 @@
-// Ways out of quarantine: what ends a probe.
+// Ways out of quarantine: which work may be the probe of a server, and what
+// ends a probe.
 #include "planner_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -7,8 +8,9 @@
 
 namespace {
 
-/// Due time of the first probe.
+/// Due time of the first probe, and the time after which any work may be it.
 constexpr Seconds Due{5};
+constexpr Seconds Overdue{6};
 
 struct Fixture : PlannerFixture {
   /// A job that runs only on the first server of a pod of two.
@@ -45,6 +47,91 @@
 
 BOOST_FIXTURE_TEST_SUITE(quarantine, Fixture)
 
+// Guards against servers that are lost for good where only gangs are sent.
+BOOST_AUTO_TEST_CASE(gang_is_the_probe_where_no_single_task_comes) {
+  addTwoServers();
+  quarantineFirst();
+  for (const char *id : {"a", "b"})
+    submit(jobOnFirst(id, 2, 2, true));
+  BOOST_TEST(planAfter(Due).Starts.empty());
+  const PlannedRound probe = planAfter(Overdue - Due);
+  BOOST_REQUIRE(probe.Starts.size() == 2U);
+  BOOST_TEST((probe.Starts[0].Task.Work == probe.Starts[1].Task.Work));
+  confirm(probe);
+  BOOST_TEST(planAfter(Millis(500)).Starts.empty());
+  end(probe.Starts[0], RunOutcome::Done);
+  BOOST_TEST(plan().Starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(failed_gang_as_probe_doubles_the_quarantine) {
+  addTwoServers();
+  quarantineFirst();
+  submit(jobOnFirst("a", 2, 2, true));
+  const PlannedRound probe = planAfter(Overdue);
+  BOOST_REQUIRE(probe.Starts.size() == 2U);
+  confirm(probe);
+  for (const StartOrder &it : probe.Starts)
+    end(it, RunOutcome::Failed);
+  submit(jobOnFirst("b", 1, 1, false));
+  BOOST_TEST(planAfter(2 * Due - Millis(100)).Starts.empty());
+  BOOST_TEST(planAfter(Millis(200)).Starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(gang_prefers_servers_that_need_no_probe) {
+  addTwoServers();
+  quarantineFirst();
+  submit(job("a", 2, 4, true));
+  const PlannedRound round = planAfter(Overdue);
+  BOOST_REQUIRE(round.Starts.size() == 2U);
+  for (const StartOrder &it : round.Starts)
+    BOOST_TEST((it.Server == incarnation(1)));
+}
+
+// Guards against a probe that stays in progress when another member of the
+// gang reports the end.
+BOOST_AUTO_TEST_CASE(end_of_a_gang_ends_the_probes_of_all_its_servers) {
+  addTwoServers();
+  quarantineFirst();
+  submit(job("a", 2, 8, true));
+  const PlannedRound probe = planAfter(Overdue);
+  BOOST_REQUIRE(probe.Starts.size() == 2U);
+  confirm(probe);
+  for (const StartOrder &it : probe.Starts)
+    if (it.Server == incarnation(1))
+      end(it, RunOutcome::Done);
+  BOOST_TEST((phase("a") == WorkPhase::Completed));
+  submit(jobOnFirst("b", 8, 1, false));
+  BOOST_TEST(plan().Starts.size() == 8U);
+}
+
+// Guards against servers that are lost for good where jobs have one attempt.
+BOOST_AUTO_TEST_CASE(job_with_one_attempt_is_the_probe_if_no_other_comes) {
+  addTwoServers();
+  WorkSpec holder = job("holder", 1, 8, false);
+  holder.Steps[0].RequiredLabel = "r0";
+  holder.LongRunning = true;
+  quarantineFirst();
+  submit(holder);
+  const PlannedRound held = plan();
+  BOOST_REQUIRE(held.Starts.size() == 1U);
+  BOOST_REQUIRE((held.Starts[0].Server == incarnation(1)));
+  const StartOrder &it = held.Starts[0];
+  Planner.recordProgress(it.Task, it.Run, it.Server, 100, Now);
+  for (const char *id : {"a", "b"}) {
+    WorkSpec spec = job(id, 1, 4, false);
+    spec.MaxAttempts = 1;
+    submit(spec);
+  }
+  BOOST_TEST(planAfter(Overdue).Starts.empty());
+  // Recent failures do not count for more than 10 s.
+  const PlannedRound probe = planAfter(Seconds(5));
+  BOOST_REQUIRE(probe.Starts.size() == 1U);
+  confirm(probe);
+  end(probe.Starts[0], RunOutcome::Done);
+  BOOST_TEST(plan().Starts.size() == 1U);
+}
+
+// Guards against a probe that stays in progress after its run was released.
 BOOST_AUTO_TEST_CASE(probe_ends_with_the_lease_of_its_server) {
   addTwoServers();
   quarantineFirst();
--- a/packages/workload/src/vector_packing.cpp
+++ b/packages/workload/src/vector_packing.cpp
@@ -12,8 +12,14 @@
 
 using Placement = std::optional<std::vector<std::size_t>>;
 
+/// Whether the request is a probe only of servers that get no other.
+bool probesOnlyIfOverdue(const PackingRequest &request) {
+  return request.Count > 1 || request.ExcludeRecentFailures;
+}
+
 bool isLastResort(const PackingServer &server, const PackingRequest &request) {
-  return server.FailedRecently || request.AvoidServers.contains(server.Id);
+  return server.FailedRecently || request.AvoidServers.contains(server.Id) ||
+         (server.ProbeOnly && probesOnlyIfOverdue(request));
 }
 
 /// Sum over all resources of the share of the server that would stay free.
@@ -39,13 +45,16 @@
          (!request.MaxPerServer || server.TasksOfStep < request.MaxPerServer);
 }
 
-/// Places tasks one by one on the best of `eligible`, as many as fit; `servers`
-/// is restored on return.
+/// Places `count` tasks one by one on the best of `eligible`, as many as fit;
+/// `servers` is restored on return. The request is for all tasks together or
+/// for one, of which a probe takes no more.
 std::vector<std::size_t> packGreedily(std::vector<PackingServer> &servers,
                                       const std::vector<std::size_t> &eligible,
-                                      const PackingRequest &request) {
+                                      const PackingRequest &request,
+                                      std::uint32_t count) {
+  const bool together = request.Count == count;
   std::vector<std::size_t> chosen;
-  while (chosen.size() < request.Count) {
+  while (chosen.size() < count) {
     std::optional<std::size_t> best;
     decltype(fitKey(servers.front(), request)) bestKey;
     for (const std::size_t at : eligible) {
@@ -60,15 +69,15 @@
     if (!best)
       break;
     // With each task the server becomes tighter, so it stays the best until it
-    // is full. A probe is one task.
+    // is full.
     PackingServer &server = servers[*best];
+    const bool probesAlone = server.ProbeOnly && !together;
     do {
       server.Free -= request.PerTask;
       ++server.TasksOfStep;
       chosen.push_back(*best);
-    } while (chosen.size() < request.Count && !server.ProbeOnly &&
-             hasRoom(server, request));
-    if (server.ProbeOnly)
+    } while (chosen.size() < count && !probesAlone && hasRoom(server, request));
+    if (probesAlone)
       break;
   }
   for (const std::size_t at : chosen) {
@@ -82,7 +91,8 @@
 Placement packAll(std::vector<PackingServer> &servers,
                   const std::vector<std::size_t> &eligible,
                   const PackingRequest &request) {
-  std::vector<std::size_t> chosen = packGreedily(servers, eligible, request);
+  std::vector<std::size_t> chosen =
+      packGreedily(servers, eligible, request, request.Count);
   if (chosen.size() < request.Count)
     return std::nullopt;
   return chosen;
@@ -154,9 +164,9 @@
 
 bool isEligible(const PackingServer &server, const PackingRequest &request) {
   if (*server.Service != request.Service ||
-      (server.ProbeOnly && request.Count > 1) ||
-      (request.ExcludeRecentFailures &&
-       (server.ProbeOnly || server.FailedRecently)) ||
+      (server.ProbeOnly && !server.ProbeOverdue &&
+       probesOnlyIfOverdue(request)) ||
+      (request.ExcludeRecentFailures && server.FailedRecently) ||
       (request.RequireRecentSuccess && !server.SucceededRecently) ||
       server.ReservedFor > request.Access ||
       !request.Speeds.contains(server.Speed))
@@ -180,7 +190,8 @@
   // Each task is placed for itself, so servers in quarantine are eligible.
   PackingRequest one = request;
   one.Count = 1;
-  return packGreedily(servers, eligibleServers(servers, one), request);
+  return packGreedily(servers, eligibleServers(servers, one), one,
+                      request.Count);
 }
 
 void PackingOutcomes::add(const PackingRequest &request, bool fits) {
--- a/packages/workload/src/vector_packing_test.cpp
+++ b/packages/workload/src/vector_packing_test.cpp
@@ -41,6 +41,7 @@
                {pick(random, 0, 128) * 1000, pick(random, 0, 512) * 1000,
                 pick(random, 0, 8)});
     it.ProbeOnly = random.between(0, 5) == 0;
+    it.ProbeOverdue = it.ProbeOnly && random.between(0, 1) == 0;
     it.FailedRecently = random.between(0, 3) == 0;
     it.SucceededRecently = random.between(0, 1) == 0;
     it.ReservedFor = static_cast<AccessLevel>(random.between(0, 2));
