Gangs get no servers in advance that lasting work occupies

Cause: servers are reserved for a waiting gang where its room becomes free first, and the end of a run is expected by its progress. A lasting task at work reports 100 percent, so its end was expected at once, in each round anew, and the gangs held servers that they can never use.

Evidence: gang_gets_no_servers_that_lasting_work_occupies failed before (0 of 4 small jobs started after 10 s) and passes. Ruled out: the reservation for urgent work (none comes) and the order of the queues.

Change: lasting work is expected to end only once its stop is requested. A gang that could fit only after such an end reserves nothing.

--- a/packages/workload/src/pod_planner_times.cpp
+++ b/packages/workload/src/pod_planner_times.cpp
@@ -26,14 +26,17 @@
     auto &ends = ExpectedReleases[incarnation.Id];
     for (const TaskName &name : tasks) {
       const TaskRecord &task = *findTask(name);
+      const PlannedWork &work = Works.at(name.Work);
       const StepSpec &spec = specOf(name);
+      // Lasting work ends when it is stopped only, whatever its progress.
+      if (work.Spec.LongRunning && !task.StopRequested)
+        continue;
       const Millis ran = now - task.PlacedAt;
       Millis left = Options.MaxStopTime;
       if (!task.StopRequested && task.Percent >= MinPercent)
         left = ran * (100 - task.Percent) / task.Percent;
       else if (!task.StopRequested)
-        left =
-            std::max(expectedRunTime(Works.at(name.Work), spec) - ran, ran / 2);
+        left = std::max(expectedRunTime(work, spec) - ran, ran / 2);
       ends.emplace_back(now + left, spec.allocation());
     }
     std::sort(ends.begin(), ends.end(), [](const auto &lhs, const auto &rhs) {
--- /dev/null
+++ b/packages/workload/src/reservation_test.cpp
@@ -0,0 +1,74 @@
+// Servers reserved for waiting gangs: never for one that they can't hold.
+#include "planner_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace citrongap;
+
+namespace {
+
+struct Fixture : PlannerFixture {
+  /// A lasting job with one task on each of `servers`, which all report to be
+  /// at work.
+  std::vector<StartOrder> startLasting(std::uint32_t servers,
+                                       std::int64_t gpus) {
+    WorkSpec lasting = job("lasting", servers, gpus, false);
+    lasting.LongRunning = true;
+    lasting.Steps[0].MaxPerServer = 1;
+    submit(lasting);
+    const PlannedRound round = plan();
+    BOOST_REQUIRE(round.Starts.size() == servers);
+    report(round.Starts, 100);
+    return round.Starts;
+  }
+
+  void report(const std::vector<StartOrder> &runs, int percent) {
+    for (const StartOrder &it : runs)
+      Planner.recordProgress(it.Task, it.Run, it.Server, percent, Now);
+  }
+
+  std::size_t startsOfSmallJobs(const std::string &tag) {
+    for (int n = 0; n < 4; ++n)
+      submit(job(tag + std::to_string(n), 1, 1, false, 2));
+    const PlannedRound round = plan();
+    confirm(round);
+    return round.Starts.size();
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(reservation, Fixture)
+
+// Guards against work that never starts beside free servers, because they are
+// kept for a gang that waits for the end of lasting work.
+BOOST_AUTO_TEST_CASE(gang_gets_no_servers_that_lasting_work_occupies) {
+  addServers(4);
+  const auto lasting = startLasting(4, 3);
+  submit(job("large", 4, 8, true));
+  for (int n = 0; n < 10; ++n) {
+    Now += Seconds(1);
+    report(lasting, 100);
+    BOOST_TEST(plan().Starts.empty());
+  }
+  BOOST_TEST(startsOfSmallJobs("small") == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(gang_gets_the_servers_of_lasting_work_that_is_stopped) {
+  addServers(2);
+  const auto lasting = startLasting(2, 3);
+  submit(job("large", 2, 8, true));
+  BOOST_TEST(plan().Starts.empty());
+  BOOST_TEST(planAfter(Seconds(1)).Starts.empty());
+  Planner.cancel(WorkId("lasting"), WallMs);
+  // Expected ends are computed anew.
+  BOOST_TEST(planAfter(PlannerOptions{}.ReleasesMaxAge).Starts.empty());
+  BOOST_TEST(startsOfSmallJobs("small") == 0U);
+  for (const StartOrder &it : lasting)
+    end(it, RunOutcome::Stopped);
+  const PlannedRound round = plan();
+  BOOST_REQUIRE(round.Starts.size() == 2U);
+  BOOST_TEST(round.Starts[0].Task.Work.str() == "large");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
