Lasting work on a leaving server is stopped in time for its checkpoint

Callers would see (by reading, no case): a lasting task that writes checkpoints is lost with its server, which had announced its departure.

A run that is expected to end before the departure is left alone, and 100 percent of a lasting task were taken for an end at once.

Evidence: planner_stops_lasting_work_before_the_departure failed before (no stop within 3 s) and passes: stopped 1,300 ms after a notice of 3 s, like any run whose end is unknown. Ruled out: the notice itself, which stops a timed run in the same test file.

Change: no end is expected of lasting work.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -472,7 +472,7 @@
   // Leaving servers: pod_planner_leaving.cpp.
   void evictFromDraining(MonoTime now);
   /// Expected end of the run, of a gang that of its last member; empty without
-  /// progress.
+  /// progress, and for lasting work.
   std::optional<MonoTime> expectedEndOf(const TaskName &name,
                                         MonoTime now) const;
   std::uint32_t rankOf(const PlannedWork &work) const;
--- a/packages/workload/src/leaving_server_test.cpp
+++ b/packages/workload/src/leaving_server_test.cpp
@@ -112,6 +112,21 @@
   BOOST_TEST(untilStop(Millis(2000)).count() == 300);
 }
 
+// Guards against lasting work that is lost with its server, since 100 percent
+// were taken for an end in time.
+BOOST_AUTO_TEST_CASE(planner_stops_lasting_work_before_the_departure) {
+  addServers(3);
+  WorkSpec spec = job("a", 1, 8, false);
+  spec.LongRunning = true;
+  spec.Steps[0].Checkpoints = true;
+  submit(spec);
+  const auto runs = plan().Starts;
+  BOOST_REQUIRE(runs.size() == 1U);
+  report(runs, Millis(1000), 100);
+  announceDeparture(runs[0], 3000);
+  BOOST_TEST(untilStop(Millis(3000)).count() == 1300);
+}
+
 BOOST_AUTO_TEST_CASE(planner_leaves_runs_that_end_in_time) {
   const auto runs = start(1, false, true);
   report(runs, Millis(1000), 60);
--- a/packages/workload/src/pod_planner_leaving.cpp
+++ b/packages/workload/src/pod_planner_leaving.cpp
@@ -9,6 +9,8 @@
 
 std::optional<MonoTime> PodPlanner::expectedEndOf(const TaskName &name,
                                                   MonoTime now) const {
+  if (Works.at(name.Work).Spec.LongRunning)
+    return std::nullopt;
   const auto endOf = [&](const TaskRecord &it) {
     return expectedEnd(
         {it.PlacedAt, it.Percent, it.PaceFromPercent, it.PaceFrom}, now);
