Servers are reserved for the urgent work of their own service only

Cause: the emptiest servers of all services were reserved for the urgent work that is expected, by the arrivals of all services. Those of a service without urgent work were taken first.

Evidence: urgent_work_of_another_service_gets_no_servers failed before (no start beside an empty server). Ruled out: the crash; the test has none.

Change: arrivals are counted and servers reserved for each service. With one service nothing changes.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -94,8 +94,8 @@
   /// Preemption is immediate when it loses at most this share of the urgent
   /// work's own core-seconds. Being late costs that work a fifth of its value.
   double MaxImmediateLossShare = 0.4;
-  /// Share of the servers reserved for priority 0 while other work can wait
-  /// without missing its objective.
+  /// Share of a service's servers reserved for priority 0 while other work can
+  /// wait without missing its objective.
   double UrgentReserveShare = 0.125;
   /// A part of the reservation is exclusive to priority 0: its demand over
   /// `ArrivalWindow`, scaled to `ReserveHorizon` and limited to this share of
@@ -459,9 +459,14 @@
   double estimatedCoreSeconds(const Unit &unit) const;
   /// Marks the servers that are reserved for urgent work.
   void reserveForUrgent(std::vector<PackingServer> &view, MonoTime now) const;
-  /// Share of the accelerators that priority 0 is expected to request within
-  /// `ReserveHorizon`, from its recent arrivals.
-  double expectedArrivalShare(const std::vector<PackingServer> &view,
+  /// The same, of one service with these servers.
+  void reserveForUrgent(std::vector<PackingServer> &view,
+                        const std::string &service,
+                        const std::vector<std::size_t> &servers,
+                        MonoTime now) const;
+  /// Share of the service's accelerators that priority 0 is expected to request
+  /// within `ReserveHorizon`, from its recent arrivals.
+  double expectedArrivalShare(const std::string &service, std::int64_t capacity,
                               MonoTime now) const;
   /// Expected ends of the runs on each server; computed again once older than
   /// `ReleasesMaxAge`.
@@ -490,9 +495,13 @@
   std::map<ClientAccountId, std::int64_t> Guarantees;
   /// Accelerators requested by unfinished jobs of priority 0, by account.
   std::map<ClientAccountId, std::int64_t> UrgentDemand;
-  /// Times and accelerators of the requests of priority 0 within
-  /// `ArrivalWindow`.
-  std::vector<std::pair<MonoTime, std::int64_t>> UrgentArrivals;
+  struct UrgentArrival {
+    MonoTime At;
+    std::string Service;
+    std::int64_t Gpus = 0;
+  };
+  /// Requests of priority 0 within `ArrivalWindow`.
+  std::vector<UrgentArrival> UrgentArrivals;
   std::set<DataCentreId> Evacuated;
   /// Of the round in progress: requests that did not fit, and whether requests
   /// would fit if all servers were empty.
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -144,8 +144,8 @@
   PlannedWork &work = it->second;
   if (spec.Priority == 0 && work.Record.Occurrences.empty())
     for (const StepSpec &step : spec.Steps)
-      UrgentArrivals.emplace_back(now - age,
-                                  step.Requested.GpuCount * step.Count);
+      UrgentArrivals.push_back(
+          {now - age, spec.Service, step.Requested.GpuCount * step.Count});
   for (std::uint32_t k = 0; k < work.Record.Occurrences.size(); ++k) {
     auto &steps = work.Record.Occurrences[k].Steps;
     for (std::uint32_t s = 0; s < steps.size(); ++s)
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -114,31 +114,46 @@
 
 void PodPlanner::reserveForUrgent(std::vector<PackingServer> &view,
                                   MonoTime now) const {
+  std::map<std::string, std::vector<std::size_t>> services;
+  for (std::size_t at = 0; at < view.size(); ++at)
+    services[*view[at].Service].push_back(at);
+  for (const auto &[service, servers] : services)
+    reserveForUrgent(view, service, servers, now);
+}
+
+void PodPlanner::reserveForUrgent(std::vector<PackingServer> &view,
+                                  const std::string &service,
+                                  const std::vector<std::size_t> &servers,
+                                  MonoTime now) const {
   // Servers that are fast enough for urgent work first. Among these, empty
   // ones, in the racks with the most free accelerators, so that gangs fit. Then
   // the least used servers, which become empty once reserved.
   std::map<RackId, std::int64_t> freeInRack;
-  for (const PackingServer &it : view)
-    freeInRack[it.Rack] += it.Free.GpuCount;
+  std::int64_t capacity = 0;
+  for (const std::size_t at : servers) {
+    freeInRack[view[at].Rack] += view[at].Free.GpuCount;
+    capacity += view[at].Capacity.GpuCount;
+  }
   using Key =
       std::tuple<bool, std::int64_t, std::int64_t, const RackId &, std::size_t>;
   std::vector<Key> order;
-  order.reserve(view.size());
-  for (std::size_t at = 0; at < view.size(); ++at) {
+  order.reserve(servers.size());
+  for (const std::size_t at : servers) {
     const PackingServer &it = view[at];
     const auto rack = freeInRack.find(it.Rack);
     order.emplace_back(it.Speed.value_or(0) < UrgentSpeed,
                        it.Capacity.GpuCount - it.Free.GpuCount, -rack->second,
                        rack->first, at);
   }
-  const auto servers = [&](double share) {
+  const auto serversOf = [&](double share) {
     return std::min(
         order.size(),
-        static_cast<std::size_t>(static_cast<double>(view.size()) * share));
+        static_cast<std::size_t>(static_cast<double>(order.size()) * share));
   };
-  const std::size_t exclusive = servers(expectedArrivalShare(view, now));
+  const std::size_t exclusive =
+      serversOf(expectedArrivalShare(service, capacity, now));
   const std::size_t all =
-      std::max(exclusive, servers(Options.UrgentReserveShare));
+      std::max(exclusive, serversOf(Options.UrgentReserveShare));
   std::vector<const Key *> first;
   first.reserve(order.size());
   for (const Key &it : order)
@@ -151,15 +166,13 @@
         n < exclusive ? AccessLevel::Urgent : AccessLevel::LongWaiting;
 }
 
-double PodPlanner::expectedArrivalShare(const std::vector<PackingServer> &view,
+double PodPlanner::expectedArrivalShare(const std::string &service,
+                                        std::int64_t capacity,
                                         MonoTime now) const {
-  std::int64_t capacity = 0;
-  for (const PackingServer &it : view)
-    capacity += it.Capacity.GpuCount;
   std::int64_t arrived = 0;
-  for (const auto &[at, gpus] : UrgentArrivals)
-    if (now - at < Options.ArrivalWindow)
-      arrived += gpus;
+  for (const UrgentArrival &it : UrgentArrivals)
+    if (now - it.At < Options.ArrivalWindow && it.Service == service)
+      arrived += it.Gpus;
   if (capacity == 0)
     return 0;
   const double next = static_cast<double>(arrived) *
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -382,7 +382,7 @@
     if (now >= recordFrom)
       Changed.insert(id);
   std::erase_if(UrgentArrivals, [&](const auto &it) {
-    return now - it.first >= Options.ArrivalWindow;
+    return now - it.At >= Options.ArrivalWindow;
   });
   completeDoneWork(wallMs);
   RoundOutcomes = {};
--- a/packages/workload/src/reservation_test.cpp
+++ b/packages/workload/src/reservation_test.cpp
@@ -1,4 +1,5 @@
-// Servers reserved for waiting gangs: never for one that they can't hold.
+// Servers reserved for waiting gangs and for urgent work: never for work that
+// can't use them.
 #include "planner_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -71,4 +72,24 @@
   BOOST_TEST(round.Starts[0].Task.Work.str() == "large");
 }
 
+// Guards against the servers of one service being kept for the urgent work of
+// another, so that nothing starts there.
+BOOST_AUTO_TEST_CASE(urgent_work_of_another_service_gets_no_servers) {
+  addServers(8);
+  ServerEntry other;
+  other.Incarnation = incarnation(8);
+  other.Service = "proofs";
+  other.Rack = RackId("r4");
+  other.Capacity = {128000, 512000, 8};
+  Planner.putServer(other, Now);
+  // No server of their own service is empty.
+  for (int n = 0; n < 8; ++n)
+    submit(job("urgent-" + std::to_string(n), 1, 5, false, 0));
+  confirm(plan());
+  WorkSpec proof = job("proof", 1, 1, false, 2);
+  proof.Service = "proofs";
+  submit(proof);
+  BOOST_TEST(plan().Starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
