Work that only reserved servers can hold may use them

Callers would see (by reading, no case): a job that requires a label, of which the only server is kept for urgent work, never starts, as long as urgent work comes. The same for gangs that need nearly all servers.

The reservation that follows urgent arrivals has no end for other work, and nothing asked whether that work has any other place.

Evidence: reserved_servers_take_work_that_fits_nowhere_else failed before. Ruled out: the reservation by arrivals of another service (one service).

Change: a step that no server outside the reservation could hold when empty may use reserved ones. Recent failures and speeds, which pass with time, don't count for that.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -464,6 +464,10 @@
                         const std::string &service,
                         const std::vector<std::size_t> &servers,
                         MonoTime now) const;
+  /// Whether only servers that are reserved for urgent work could hold the
+  /// unit, even if all were empty.
+  bool needsReservedServers(const Unit &unit,
+                            const std::vector<PackingServer> &view);
   /// Share of the service's accelerators that priority 0 is expected to request
   /// within `ReserveHorizon`, from its recent arrivals.
   double expectedArrivalShare(const std::string &service, std::int64_t capacity,
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -166,6 +166,21 @@
         n < exclusive ? AccessLevel::Urgent : AccessLevel::LongWaiting;
 }
 
+bool PodPlanner::needsReservedServers(const Unit &unit,
+                                      const std::vector<PackingServer> &view) {
+  PackingRequest request = requestOf(unit, view, false);
+  // What passes with time doesn't count.
+  request.ExcludeRecentFailures = false;
+  request.RequireRecentSuccess = false;
+  request.Speeds = {};
+  if (request.Count > 1)
+    return !wouldFitEmpty(view, request);
+  return std::none_of(view.begin(), view.end(), [&](const PackingServer &it) {
+    return isEligible(it, request) && request.PerTask.fitsIn(it.Capacity) &&
+           (!request.MaxPerServer || it.TasksOfStep < request.MaxPerServer);
+  });
+}
+
 double PodPlanner::expectedArrivalShare(const std::string &service,
                                         std::int64_t capacity,
                                         MonoTime now) const {
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -411,6 +411,8 @@
       continue;
     countTasksOfStep(unit, view);
     chooseSpeeds(unit, view, now);
+    if (unit.Rank > UrgentRank && needsReservedServers(unit, view))
+      unit.Access = AccessLevel::Urgent;
     if (unit.Gang ? place(unit, view, now, round)
                   : placeEach(unit, view, now, round)) {
       SpeedWaits.erase(unit.step());
--- a/packages/workload/src/reservation_test.cpp
+++ b/packages/workload/src/reservation_test.cpp
@@ -92,4 +92,30 @@
   BOOST_TEST(plan().Starts.size() == 1U);
 }
 
+// Guards against work that never starts because all servers that could hold it
+// are kept for urgent work.
+BOOST_AUTO_TEST_CASE(reserved_servers_take_work_that_fits_nowhere_else) {
+  addServers(8);
+  for (int n = 0; n < 8; ++n) {
+    ServerEntry entry = Planner.servers().find(incarnation(n).Id)->Entry;
+    entry.Labels.emplace_back(n == 0 ? "first" : "others");
+    Planner.putServer(entry, Now);
+  }
+  for (int n = 0; n < 10; ++n) {
+    WorkSpec urgent = job("urgent-" + std::to_string(n), 1, 5, false, 0);
+    urgent.Steps[0].RequiredLabel = "others";
+    submit(urgent);
+  }
+  confirm(plan());
+  WorkSpec anywhere = job("anywhere", 1, 8, false, 2);
+  submit(anywhere);
+  BOOST_TEST(plan().Starts.empty());
+  WorkSpec first = job("first", 1, 1, false, 2);
+  first.Steps[0].RequiredLabel = "first";
+  submit(first);
+  const PlannedRound round = plan();
+  BOOST_REQUIRE(round.Starts.size() == 1U);
+  BOOST_TEST(round.Starts[0].Task.Work.str() == "first");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
