A probe that works on succeeds before its end

Cause: while a probe is in progress its server gets no other work, and only an end as done was a success. Lasting work never ends so; a long task does hours later.

Ruled out: that the probe hadn't run, and a release without a report.

Change: a lasting task that is at work a second after its start, and a timed one that still makes progress after the length of the first quarantine, are successes.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -331,6 +331,10 @@
   /// All runs of the incarnation have ended.
   void releaseAll(const ServerIncarnation &incarnation, LossCause cause,
                   MonoTime now);
+  /// A report of a run that may be a probe. Work that runs for long shows that
+  /// the server is sound before it ends.
+  void judgeProbe(const TaskName &task, TaskRecord &record, int percent,
+                  MonoTime now);
   /// Ends the probe that the released run was, unless another member of its
   /// gang is still part of it.
   void endProbe(TaskRecord &record);
--- a/packages/workload/src/pod_planner_reports.cpp
+++ b/packages/workload/src/pod_planner_reports.cpp
@@ -3,6 +3,13 @@
 
 namespace citrongap {
 
+namespace {
+
+/// A faulty server fails its runs sooner than this.
+constexpr Millis WorksAfter{1000};
+
+} // namespace
+
 void PodPlanner::recordBegin(const WorkId &id, MonoTime now) {
   const auto it = Works.find(id);
   if (it == Works.end() || it->second.Record.Phase != WorkPhase::Queued)
@@ -61,6 +68,7 @@
   keepListedCheckpoint(task, *record, percent, checkpoint);
   record->ListedAt = now;
   measurePace(task, *record, percent, now);
+  judgeProbe(task, *record, percent, now);
   if (percent == record->Percent) {
     if (!record->StopRequested && isStalled(*record, specOf(task), now))
       SweptAt = MonoTime();
@@ -68,12 +76,23 @@
   }
   record->Percent = percent;
   record->ProgressAt = now;
-  // A faulty server fails its runs sooner than this.
-  constexpr Millis WorksAfter{1000};
   if (now - record->PlacedAt >= WorksAfter)
     Health.recordProgress(server.Id, now);
 }
 
+void PodPlanner::judgeProbe(const TaskName &task, TaskRecord &record,
+                            int percent, MonoTime now) {
+  if (!record.Probe)
+    return;
+  const bool lasting = Works.at(task.Work).Spec.LongRunning;
+  const bool works = lasting ? percent >= 100 : percent > record.Percent;
+  const Millis enough = lasting ? WorksAfter : Options.Health.FirstQuarantine;
+  if (!works || now - record.PlacedAt < enough)
+    return;
+  Health.recordSuccess(record.Server.Id, now);
+  record.Probe = false;
+}
+
 std::optional<RunLoss>
 PodPlanner::recordRunEnd(const TaskName &task, std::uint32_t run,
                          const ServerIncarnation &server, RunOutcome outcome,
--- a/packages/workload/src/quarantine_test.cpp
+++ b/packages/workload/src/quarantine_test.cpp
@@ -147,6 +147,46 @@
   BOOST_TEST((next.Starts[0].Server == incarnation(0)));
 }
 
+// Guards against a server that gets nothing beside its probe, since lasting
+// work never ends as done.
+BOOST_AUTO_TEST_CASE(lasting_task_at_work_is_a_successful_probe) {
+  addTwoServers();
+  quarantineFirst();
+  for (const char *id : {"a", "b", "c"}) {
+    WorkSpec lasting = jobOnFirst(id, 1, 1, false);
+    lasting.LongRunning = true;
+    submit(lasting);
+  }
+  const PlannedRound probe = planAfter(Due);
+  BOOST_REQUIRE(probe.Starts.size() == 1U);
+  const StartOrder &run = probe.Starts[0];
+  Planner.recordProgress(run.Task, run.Run, run.Server, 100, Now);
+  // A faulty server may take a moment to fail.
+  BOOST_TEST(planAfter(Millis(500)).Starts.empty());
+  Now += Millis(500);
+  Planner.recordProgress(run.Task, run.Run, run.Server, 100, Now);
+  BOOST_TEST(plan().Starts.size() == 2U);
+}
+
+// The same, of a long task that makes progress.
+BOOST_AUTO_TEST_CASE(long_task_with_progress_is_a_successful_probe) {
+  addTwoServers();
+  quarantineFirst();
+  for (const char *id : {"a", "b"})
+    submit(jobOnFirst(id, 1, 1, false));
+  const PlannedRound probe = planAfter(Due);
+  BOOST_REQUIRE(probe.Starts.size() == 1U);
+  const StartOrder &run = probe.Starts[0];
+  for (int n = 1; n < 5; ++n) {
+    Now += Seconds(1);
+    Planner.recordProgress(run.Task, run.Run, run.Server, n, Now);
+    BOOST_TEST(plan().Starts.empty());
+  }
+  Now += Seconds(1);
+  Planner.recordProgress(run.Task, run.Run, run.Server, 5, Now);
+  BOOST_TEST(plan().Starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(end_of_an_older_run_does_not_end_the_probe) {
   addTwoServers();
   WorkSpec older = jobOnFirst("older", 1, 1, false);
