A new owner goes on with a job whose finished occurrences have no steps

Cause: finished occurrences lose their steps once the state would outgrow its record. The next owner asked for the steps of each occurrence and left the job out silently, as one of another shape.

Evidence: new_owner_starts_no_finished_occurrence_again, which now also asks that the next occurrence starts, failed before (the job isn't known). Ruled out: the take-over (other jobs go on), the size of the record.

Change: an occurrence without steps is a finished one. Jobs that are left out for their record are logged.

--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -220,6 +220,11 @@
     if (!NamedServices.empty())
       addServices({entry->Spec->Service});
     Planner->addWork(*entry->Spec, std::move(record), monoNow(), age);
+    if (!Planner->find(id)) {
+      Log("owner", "job_left_out",
+          "request={} why=\"its state has other steps or tasks\"", id.str());
+      return;
+    }
     // Accepted by a build that had no such bound.
     if (!canRunWithinState(*entry->Spec)) {
       Log("owner", "job_too_large", "request={} state_bytes={}", id.str(),
--- a/packages/workload/include/citrongap/workload/work_state.h
+++ b/packages/workload/include/citrongap/workload/work_state.h
@@ -105,6 +105,7 @@
 
 /// One repetition of all steps.
 struct Occurrence {
+  /// May be empty once all are done.
   std::vector<StepRecord> Steps;
 
   bool done() const;
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -20,9 +20,11 @@
 }
 
 /// Whether the record has the steps of the job in each occurrence, and the
-/// tasks of each step.
+/// tasks of each step. Finished occurrences may be without steps.
 bool hasStepsOf(const WorkSpec &spec, const WorkRecord &record) {
   for (const Occurrence &occurrence : record.Occurrences) {
+    if (occurrence.Steps.empty())
+      continue;
     if (occurrence.Steps.size() != spec.Steps.size())
       return false;
     for (std::size_t s = 0; s < spec.Steps.size(); ++s)
--- a/packages/workload/src/state_room_test.cpp
+++ b/packages/workload/src/state_room_test.cpp
@@ -128,7 +128,7 @@
 }
 
 // Guards against an occurrence that a new owner starts again, because its steps
-// were removed from the state.
+// were removed from the state, and against a job that it leaves out for that.
 BOOST_AUTO_TEST_CASE(new_owner_starts_no_finished_occurrence_again) {
   addServers(64);
   const WorkSpec spec = repeatingJob(Millis(100000));
@@ -146,6 +146,11 @@
   addServers(64);
   Planner.addWork(spec, std::move(stored), Now);
   BOOST_TEST(plan().Starts.empty());
+  // It starts the others.
+  BOOST_REQUIRE(Planner.find(spec.Id) != nullptr);
+  const PlannedRound next = planAfter(Millis(100000));
+  BOOST_REQUIRE(next.Starts.size() == 3200U);
+  BOOST_TEST(next.Starts[0].Task.Occurrence == 45U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
