One clean-up removes all ended jobs

Cause: a clean-up removed 167 jobs each 10 s, and was left out when a round's append was in flight at that moment.

Evidence: one_clean_up_removes_all_ended_jobs failed before (of 600 jobs those at 301 and 600 were still known), holds 3 of 3 after. Ruled out: the time of retention, which all of them had passed. That rounds in flight delayed it has no test.

Change: up to 5,000 jobs a clean-up, split into calls that the store takes; jobs whose end hasn't been read back wait for the next one, others don't wait for a round.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -37,6 +37,8 @@
   Millis OwnershipTimeout{1500};
   /// Ended jobs can be queried for at least this long.
   Millis EndedJobRetention{150000};
+  /// They are removed in this interval, 30 s later than required at the latest.
+  Millis EndedJobCleanupInterval{10000};
   /// The store removes the entry of a server that has not reported for this
   /// long; the platform's three report intervals, less a tenth.
   Millis ReportTimeout{4050};
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -124,6 +124,7 @@
       out.Controller.Appender = out.Appender;
       out.Controller.TickInterval = Millis(10);
       out.Controller.ServerListInterval = Millis(20);
+      out.Controller.EndedJobCleanupInterval = site.CleanupInterval;
       out.Controller.Planner.BeginRecordDelay = site.BeginRecordDelay;
       out.Controller.Planner.SpeedUpdateInterval = Millis(50);
       out.Controller.SpeedRecordInterval = Millis(20);
@@ -157,6 +158,9 @@
   Millis MaxReadGap{100};
   /// Interval of reads of the jobs topic, for entry VMs that are added later.
   Millis ReaderInterval{5};
+  /// Interval in which an owner removes ended jobs, for entry VMs that are added
+  /// later.
+  Millis CleanupInterval{10000};
   /// Largest batch of several appends, for entry VMs that are added later.
   std::size_t MaxBatchBytes = AppenderOptions().MaxBatchBytes;
   /// Entry VMs that are added later get no pages of more than this many bytes.
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -14,12 +14,10 @@
 constexpr const char *OwnerProducer = "owner";
 /// Batches simultaneous events into one round; a third of an append's time.
 constexpr Millis RoundDelay{2};
-/// Ended jobs are kept 30 s longer than required, so this may be coarse.
-constexpr Millis CleanupInterval{10000};
 /// Several times the longest lease, after which the record is of no use.
 constexpr Millis LeaseEndRetention{60000};
-/// Even 1,500 such short records are far below the limit of one store call.
-constexpr std::size_t MaxTombstonesPerAppend = 500;
+/// Removed by one clean-up, after which the next rounds are recorded.
+constexpr std::size_t MaxDeletedJobs = 5000;
 
 // A job's records have keys of at most 64 bytes.
 static_assert(MaxEncodedBytes + 64 < StoreLimits::RecordBytes);
@@ -135,7 +133,8 @@
   for (const auto &[id, entry] : ListedServers)
     addLink(entry);
   TickTimer = Loop.every(Options.TickInterval, [this] { runRound(); });
-  CleanupTimer = Loop.every(CleanupInterval, [this] { deleteEndedJobs(); });
+  CleanupTimer = Loop.every(Options.EndedJobCleanupInterval,
+                            [this] { deleteEndedJobs(); });
   scheduleRound();
 }
 
@@ -376,15 +375,16 @@
 }
 
 void PodController::deleteEndedJobs() {
-  if (!Active || AppendInFlight)
+  if (!Active)
     return;
   const std::int64_t before =
       toMillis(wallNow()) - Options.EndedJobRetention.count();
   std::vector<KeyedRecord> tombstones;
   for (const auto &[id, entry] : Registry.all()) {
-    if (tombstones.size() >= MaxTombstonesPerAppend)
+    if (tombstones.size() >= 3 * MaxDeletedJobs)
       break;
-    if (!ended(entry.Phase) || entry.EndedAtMs > before || Planner->find(id))
+    if (!ended(entry.Phase) || entry.EndedAtMs > before || Planner->find(id) ||
+        UnreadEnds.contains(id))
       continue;
     // First the submission: without its state, the job would count as queued.
     tombstones.push_back({specKey(id), std::nullopt});
@@ -394,10 +394,12 @@
   // The leases have ended long since.
   for (const BackendServerId &it :
        Registry.leaseEndsReadBefore(monoNow() - LeaseEndRetention))
-    if (tombstones.size() < MaxTombstonesPerAppend)
-      tombstones.push_back({leaseEndKey(it), std::nullopt});
-  if (!tombstones.empty())
-    Appender->append(std::move(tombstones), nullptr);
+    tombstones.push_back({leaseEndKey(it), std::nullopt});
+  if (tombstones.empty())
+    return;
+  for (std::vector<KeyedRecord> &it : splitForAppends(
+           std::move(tombstones), Options.Appender.MaxBatchBytes))
+    Appender->append(std::move(it), nullptr);
 }
 
 } // namespace citrongap
