A submission under another account's id is refused

Cause: a known id was taken for a repeated submission, whoever sent it.

Ruled out: queries and cancellations, which compare the account.

Change: 400 with a finding. A caller without an account, on a public queue, is answered as before, as the key of a retry may have been revoked.

--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -32,6 +32,7 @@
   // Revision 3 adds a service.
   if (out.InForce >= Revision(3))
     out.Services.insert("proof");
+  out.AccountByKey["key-2"] = ClientAccountId("multan");
   // Revision 2 revokes the key.
   if (out.InForce != Revision(2))
     out.AccountByKey[Key] = ClientAccountId("quetta");
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -154,8 +154,16 @@
 void RequestFront::submit(const CallerRequest &request, const QueueRules &queue,
                           const ClientAccountId &account, const WorkId &id,
                           const Reply &reply) {
-  if (Registry.find(id)) {
-    reply(AnswerAccepted{});
+  if (const RegistryEntry *known = Registry.find(id)) {
+    const ClientAccountId &owner = known->Spec->Account;
+    // The key of a retry on a public queue may have been revoked since.
+    if (!account.empty() && !owner.empty() && account != owner) {
+      Findings findings;
+      findings.add("path", "ends with the id of another account's job");
+      reply(AnswerInvalid{std::move(findings)});
+    } else {
+      reply(AnswerAccepted{});
+    }
     return;
   }
   auto parsed = ParseSubmission(request.Body);
