A server that no job may probe returns from quarantine on probation

Evidence: unprobed_server_returns_on_probation, without the call in the pass: no start 631 s after the failures; with it, one. Ruled out: the length of the quarantine (30 s; nothing at 40 and 629 s either).

Change: ten minutes after a probe was due the server returns on probation. One failure puts it back for twice as long, one success forgets it.

--- a/packages/policy/include/citrongap/policy/server_health.h
+++ b/packages/policy/include/citrongap/policy/server_health.h
@@ -70,6 +70,9 @@
   /// server would be lost to the fleet.
   bool probeOverdue(const BackendServerId &server, MonoTime now) const;
   void startProbe(const BackendServerId &server);
+  /// Ends the quarantine without a probe. The next failure begins the next one,
+  /// the next success forgets this one.
+  void startProbation(const BackendServerId &server, MonoTime now);
   /// The probe ended without a result, or its result is recorded.
   void abortProbe(const BackendServerId &server);
 
@@ -91,6 +94,7 @@
     bool Quarantined = false;
     bool Probing = false;
     MonoTime ProbeAt;
+    bool OnProbation = false;
     /// Consecutive quarantines without a successful probe.
     std::uint32_t ConsecutiveQuarantines = 0;
 
--- a/packages/policy/src/health_test.cpp
+++ b/packages/policy/src/health_test.cpp
@@ -70,6 +70,33 @@
   BOOST_TEST(health.quarantinedCount() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(one_failure_on_probation_doubles_the_quarantine) {
+  ServerHealth health;
+  health.recordSuccess(server(1), Start);
+  for (int i = 0; i < 3; ++i)
+    health.recordFailure(server(0), Start);
+  const MonoTime overdue = Start + Seconds(30 + 600);
+  BOOST_TEST(!health.probeOverdue(server(0), overdue - Millis(1)));
+  BOOST_TEST(health.probeOverdue(server(0), overdue));
+  health.startProbation(server(0), overdue);
+  BOOST_TEST(!health.quarantined(server(0)));
+  health.recordFailure(server(0), overdue);
+  BOOST_TEST(health.quarantined(server(0)));
+  BOOST_TEST(!health.probeDue(server(0), overdue + Seconds(59)));
+  BOOST_TEST(health.probeDue(server(0), overdue + Seconds(60)));
+}
+
+BOOST_AUTO_TEST_CASE(success_on_probation_forgets_the_quarantine) {
+  ServerHealth health;
+  health.recordSuccess(server(1), Start);
+  for (int i = 0; i < 3; ++i)
+    health.recordFailure(server(0), Start);
+  health.startProbation(server(0), Start + Seconds(630));
+  health.recordSuccess(server(0), Start + Seconds(640));
+  BOOST_TEST(!health.recordFailure(server(0), Start + Seconds(641)));
+  BOOST_TEST(health.quarantinedCount() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_job_that_fails_on_distinct_servers_quarantines_none) {
   ServerHealth health;
   JobHealth jobs;
--- a/packages/policy/src/pod_scheduler_test.cpp
+++ b/packages/policy/src/pod_scheduler_test.cpp
@@ -61,3 +61,35 @@
   BOOST_REQUIRE(later.size() == 1U);
   BOOST_CHECK(std::get<RefuseJob>(later[0]).Job == job("b", 8).Id);
 }
+
+// Guards against servers that are lost for good where no job that comes may be
+// a probe.
+BOOST_AUTO_TEST_CASE(unprobed_server_returns_on_probation) {
+  PodScheduler pod = podOf(2);
+  const auto lasting = [](const std::string &key) {
+    JobRequest it = job(key, 8);
+    it.Repeatable = false;
+    it.Deadline = WallStart + Seconds(7200);
+    return it;
+  };
+  const auto submit = [&](const std::string &key, Seconds after) {
+    pod.submit(lasting(key), WallStart + after, Start + after);
+    return pod.decide(WallStart + after, Start + after).size();
+  };
+  BOOST_TEST(submit("holder", Seconds(0)) == 1U);
+  for (const char *key : {"a", "b", "c"}) {
+    pod.submit(lasting(key), WallStart, Start);
+    const auto started = pod.decide(WallStart, Start);
+    BOOST_REQUIRE(started.size() == 1U);
+    RunReport report{false, 1, {}};
+    for (const auto &it : std::get<StartJob>(started[0]).Where.Parts)
+      report.FailedOn.push_back(it.Server);
+    pod.jobEnded(lasting(key).Id, report, Start);
+  }
+  BOOST_TEST(pod.summary(Start).QuarantinedServers == 1U);
+  BOOST_TEST(submit("d", Seconds(40)) == 0U);
+  // 30 s of quarantine, 10 minutes without a probe.
+  BOOST_TEST(submit("e", Seconds(629)) == 0U);
+  BOOST_TEST(submit("f", Seconds(631)) == 1U);
+  BOOST_TEST(pod.summary(Start).QuarantinedServers == 0U);
+}
--- a/packages/policy/src/pod_state.h
+++ b/packages/policy/src/pod_state.h
@@ -105,6 +105,9 @@
   SlotMask idleSlots(const ServerCells &cells) const;
   std::optional<GangCells> backfillCells(const QueuedJob &job, MonoTime now);
   std::optional<GangCells> probeCells(const QueuedJob &job, MonoTime now);
+  /// Servers whose probe is overdue return on probation: unrepeatable and
+  /// urgent jobs and those of several servers are no probes.
+  void returnUnprobedServers(MonoTime now);
   void reserve(const QueuedJob &job, MonoTime now, std::vector<Decision> &out);
   /// Preempts the youngest suitable work of the account most over its fair
   /// share and reserves its cells, all on one server.
--- a/packages/policy/src/server_health.cpp
+++ b/packages/policy/src/server_health.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace citrongap {
 
@@ -62,6 +63,7 @@
     ++QuarantinedServers;
   }
   record.Quarantined = true;
+  record.OnProbation = false;
   record.Probing = false;
   record.ProbeAt =
       now + Options.FirstQuarantine *
@@ -89,6 +91,10 @@
     return;
   }
   exclude(record);
+  if (std::exchange(record.OnProbation, false)) {
+    record.Failures = 0;
+    record.ConsecutiveQuarantines = 0;
+  }
   record.decay(now, Options.HalfLife);
   record.Successes += 1;
   record.LastRunFailed = false;
@@ -121,9 +127,10 @@
   record.Failures += 1;
   include(record);
   const bool faulty =
-      record.Failures >= Options.MinFailures &&
-      record.rate() >= Options.MinRate &&
-      record.rate() >= Options.MinRateRatio * meanRateOfOthers(record);
+      record.OnProbation ||
+      (record.Failures >= Options.MinFailures &&
+       record.rate() >= Options.MinRate &&
+       record.rate() >= Options.MinRateRatio * meanRateOfOthers(record));
   if (faulty)
     quarantine(record, now);
   return faulty;
@@ -183,6 +190,19 @@
     it->second.Probing = true;
 }
 
+void ServerHealth::startProbation(const BackendServerId &server, MonoTime now) {
+  const auto it = Records.find(server);
+  if (it == Records.end() || !it->second.Quarantined)
+    return;
+  Record &record = it->second;
+  --QuarantinedServers;
+  record.Quarantined = false;
+  record.Probing = false;
+  record.OnProbation = true;
+  record.decay(now, Options.HalfLife);
+  include(record);
+}
+
 void ServerHealth::abortProbe(const BackendServerId &server) {
   const auto it = Records.find(server);
   if (it != Records.end())
--- a/packages/policy/src/start_rules.cpp
+++ b/packages/policy/src/start_rules.cpp
@@ -47,7 +47,19 @@
   PendingDecisions.clear();
 }
 
+void PodScheduler::State::returnUnprobedServers(MonoTime now) {
+  std::vector<BackendServerId> overdue;
+  for (const BackendServerId &it : Quarantined)
+    if (Health.probeOverdue(it, now))
+      overdue.push_back(it);
+  for (const BackendServerId &it : overdue) {
+    Health.startProbation(it, now);
+    syncQuarantine(it);
+  }
+}
+
 void PodScheduler::State::runPass(MonoTime now, std::vector<Decision> &out) {
+  returnUnprobedServers(now);
   NoSurplus.reset();
   NoFree.reset();
   NoPreemptible.reset();
