--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -159,8 +159,8 @@
   Millis MaxReadGap{100};
   /// Interval of reads of the jobs topic, for entry VMs that are added later.
   Millis ReaderInterval{5};
-  /// Interval in which an owner removes ended jobs, for entry VMs that are added
-  /// later.
+  /// Interval in which an owner removes ended jobs, for entry VMs that are
+  /// added later.
   Millis CleanupInterval{10000};
   /// Largest batch of several appends, for entry VMs that are added later.
   std::size_t MaxBatchBytes = AppenderOptions().MaxBatchBytes;
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -397,8 +397,8 @@
     tombstones.push_back({leaseEndKey(it), std::nullopt});
   if (tombstones.empty())
     return;
-  for (std::vector<KeyedRecord> &it : splitForAppends(
-           std::move(tombstones), Options.Appender.MaxBatchBytes))
+  for (std::vector<KeyedRecord> &it :
+       splitForAppends(std::move(tombstones), Options.Appender.MaxBatchBytes))
     Appender->append(std::move(it), nullptr);
 }
 
