A peer's time to retry is refused if it is out of range

Cause: only negative times of a peer were refused.

Evidence: time_to_retry_out_of_range_is_refused failed before on the largest time. Ruled out: our own answers, which are constants.

Change: such an answer counts as malformed, and the next peer is asked.

--- a/packages/control/src/query_codec_test.cpp
+++ b/packages/control/src/query_codec_test.cpp
@@ -62,4 +62,16 @@
   });
 }
 
+// Guards against a time to retry of a peer that overflows when it is rounded up
+// to seconds, so that the caller is told a negative one.
+BOOST_AUTO_TEST_CASE(time_to_retry_out_of_range_is_refused) {
+  const auto answer = [](Millis retryAfter) {
+    return encode(std::optional<CallerAnswer>(
+        AnswerNotRun{"the store is out of reach", retryAfter}));
+  };
+  BOOST_TEST(decodePeerAnswer(answer(Seconds(60))).has_value());
+  BOOST_TEST(!decodePeerAnswer(answer(Millis::max())).has_value());
+  BOOST_TEST(!decodePeerAnswer(answer(Millis(-1))).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/query_relay.cpp
+++ b/packages/control/src/query_relay.cpp
@@ -102,7 +102,9 @@
     return std::nullopt;
   if (kind == NotKnown)
     return std::optional<CallerAnswer>();
-  if (value < 0)
+  constexpr Millis LongestRetryAfter{60 * 60 * 1000};
+  const auto notRun = CallerAnswer(AnswerNotRun{}).index();
+  if (value < 0 || (kind == notRun && value > LongestRetryAfter.count()))
     return std::nullopt;
   const auto phase = static_cast<WorkPhase>(std::min<std::int64_t>(
       value, static_cast<std::int64_t>(WorkPhase::Cancelled)));
