--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -16,7 +16,7 @@
 constexpr Millis RoundDelay{2};
 /// Several times the longest lease, after which the record is of no use.
 constexpr Millis LeaseEndRetention{60000};
-/// Removed by one clean-up, after which the next rounds are recorded.
+/// Most jobs that one clean-up removes: the next round waits for their records.
 constexpr std::size_t MaxDeletedJobs = 5000;
 
 // A job's records have keys of at most 64 bytes.
--- a/packages/policy/include/citrongap/policy/server_health.h
+++ b/packages/policy/include/citrongap/policy/server_health.h
@@ -41,7 +41,8 @@
 /// The mean is taken over servers, not tasks, because a server that fails every
 /// task immediately attracts more tasks than all others. When the quarantine
 /// expires, one probe task may run: its success releases the server, its
-/// failure doubles the quarantine.
+/// failure doubles the quarantine. A probe that no work is fit for becomes
+/// overdue, and the caller lets other work in.
 class ServerHealth {
 public:
   explicit ServerHealth(ServerHealthOptions options = {}) : Options(options) {}
@@ -94,6 +95,7 @@
     bool Quarantined = false;
     bool Probing = false;
     MonoTime ProbeAt;
+    /// See startProbation(); ends with the next success or failure.
     bool OnProbation = false;
     /// Consecutive quarantines without a successful probe.
     std::uint32_t ConsecutiveQuarantines = 0;
