Cheaper checks in each round for probes and reserved servers

Cause: the check for reserved servers built a request for each waiting step, the reservation looked up services by copies of their names, and each server was asked for an overdue probe, whether in quarantine or not.

No decision changes.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -466,7 +467,7 @@
   void reserveForUrgent(std::vector<PackingServer> &view, MonoTime now) const;
   /// The same, of one service with these servers.
   void reserveForUrgent(std::vector<PackingServer> &view,
-                        const std::string &service,
+                        std::string_view service,
                         const std::vector<std::size_t> &servers,
                         MonoTime now) const;
   /// Whether only servers that are reserved for urgent work could hold the
@@ -475,7 +476,7 @@
                             const std::vector<PackingServer> &view);
   /// Share of the service's accelerators that priority 0 is expected to request
   /// within `ReserveHorizon`, from its recent arrivals.
-  double expectedArrivalShare(const std::string &service, std::int64_t capacity,
+  double expectedArrivalShare(std::string_view service, std::int64_t capacity,
                               MonoTime now) const;
   /// Expected ends of the runs on each server; computed again once older than
   /// `ReleasesMaxAge`.
--- a/packages/workload/include/citrongap/workload/vector_packing.h
+++ b/packages/workload/include/citrongap/workload/vector_packing.h
@@ -110,6 +110,9 @@
 /// Whether the request's constraints admit this server; ignores free resources.
 bool isEligible(const PackingServer &server, const PackingRequest &request);
 
+/// An empty label is one that each server has.
+bool hasLabel(const PackingServer &server, const std::string &label);
+
 } // namespace citrongap
 
 #endif // CITRONGAP_WORKLOAD_VECTOR_PACKING_H
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
 
 namespace citrongap {
 
@@ -114,7 +115,7 @@
 
 void PodPlanner::reserveForUrgent(std::vector<PackingServer> &view,
                                   MonoTime now) const {
-  std::map<std::string, std::vector<std::size_t>> services;
+  std::map<std::string_view, std::vector<std::size_t>> services;
   for (std::size_t at = 0; at < view.size(); ++at)
     services[*view[at].Service].push_back(at);
   for (const auto &[service, servers] : services)
@@ -122,7 +123,7 @@
 }
 
 void PodPlanner::reserveForUrgent(std::vector<PackingServer> &view,
-                                  const std::string &service,
+                                  std::string_view service,
                                   const std::vector<std::size_t> &servers,
                                   MonoTime now) const {
   // Servers that are fast enough for urgent work first. Among these, empty
@@ -168,20 +169,25 @@
 
 bool PodPlanner::needsReservedServers(const Unit &unit,
                                       const std::vector<PackingServer> &view) {
-  PackingRequest request = requestOf(unit, view, false);
-  // What passes with time doesn't count.
-  request.ExcludeRecentFailures = false;
-  request.RequireRecentSuccess = false;
-  request.Speeds = {};
-  if (request.Count > 1)
+  // Recent failures and speeds don't count: they pass with time.
+  if (unit.Gang && unit.Indices.size() > 1) {
+    PackingRequest request = requestOf(unit, view, false);
+    request.ExcludeRecentFailures = false;
+    request.RequireRecentSuccess = false;
+    request.Speeds = {};
     return !wouldFitEmpty(view, request);
+  }
+  const PlannedWork &work = Works.at(unit.Work);
+  const StepSpec &spec = work.Spec.Steps[unit.Step];
+  const Resources each = spec.allocation();
   return std::none_of(view.begin(), view.end(), [&](const PackingServer &it) {
-    return isEligible(it, request) && request.PerTask.fitsIn(it.Capacity) &&
-           (!request.MaxPerServer || it.TasksOfStep < request.MaxPerServer);
+    return it.ReservedFor <= unit.Access && *it.Service == work.Spec.Service &&
+           hasLabel(it, spec.RequiredLabel) && each.fitsIn(it.Capacity) &&
+           (!spec.MaxPerServer || it.TasksOfStep < spec.MaxPerServer);
   });
 }
 
-double PodPlanner::expectedArrivalShare(const std::string &service,
+double PodPlanner::expectedArrivalShare(std::string_view service,
                                         std::int64_t capacity,
                                         MonoTime now) const {
   std::int64_t arrived = 0;
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -147,7 +147,7 @@
     it.Capacity = slot.Entry.Capacity;
     it.Free = slot.Free;
     it.ProbeOnly = quarantined;
-    it.ProbeOverdue = Health.probeOverdue(id, now);
+    it.ProbeOverdue = quarantined && Health.probeOverdue(id, now);
     it.FailedRecently = Health.failedRecently(id, now);
     it.SucceededRecently = Health.succeededRecently(id, now);
     if (SpeedsInUse && Speeds.rated(slot.Entry.Machine))
--- a/packages/workload/src/vector_packing.cpp
+++ b/packages/workload/src/vector_packing.cpp
@@ -173,9 +173,13 @@
     return false;
   if (!request.Rack.empty() && server.Rack != request.Rack)
     return false;
-  return request.RequiredLabel.empty() ||
-         std::find(server.Labels->begin(), server.Labels->end(),
-                   request.RequiredLabel) != server.Labels->end();
+  return hasLabel(server, request.RequiredLabel);
+}
+
+bool hasLabel(const PackingServer &server, const std::string &label) {
+  return label.empty() ||
+         std::find(server.Labels->begin(), server.Labels->end(), label) !=
+             server.Labels->end();
 }
 
 Placement packTasks(std::vector<PackingServer> &servers,
