A confirmed start keeps its run no longer than the lease

Cause: the wait for late starts kept all unsettled starts. These also are the ones that were confirmed and not listed yet, which have no time at which they settle; with their server lost they stayed placed for good.

Ruled out: the quarantine (no probe in the trace of that job), room (most of it was free).

Change: only starts without an answer, which have a time limit, outlast the leases. A confirmed run ends with its lease on whichever life it is.

--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -97,9 +97,8 @@
     /// `replaced`: a later run of the task has been placed.
     std::function<void(RunOutcome, bool replaced)> RunEnded;
     /// All leases have expired while the server was unreachable. Its next
-    /// incarnation may still carry out the starts of the runs `unsettled`.
-    std::function<void(const ServerIncarnation &,
-                       const std::set<RunId> &unsettled)>
+    /// incarnation may still begin the runs `late`.
+    std::function<void(const ServerIncarnation &, const std::set<RunId> &late)>
         LeasesExpired;
   };
 
@@ -199,6 +198,8 @@
   /// incarnation uses a higher token.
   void reportFenced();
   void onPollFailed(const FleetError &error);
+  /// Runs of which a start without an answer may still be carried out.
+  std::set<RunId> lateStarts() const;
   /// All leases have expired: releases the runs that no incarnation of the
   /// server can have or begin.
   void releaseSettledRuns();
--- a/packages/control/src/late_start_next_life_test.cpp
+++ b/packages/control/src/late_start_next_life_test.cpp
@@ -43,3 +43,26 @@
   Loop.runUntil(sentAt + Millis(800));
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
+
+// Guards against a task that waits for good for a lost server that confirmed
+// its start and has not listed the run.
+BOOST_FIXTURE_TEST_CASE(confirmed_start_waits_no_longer_than_its_lease,
+                        ShortLeaseSite) {
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.running() == 1U);
+  Fleet.end("i-1", Fleet.anyRun().second, RunOutcome::Done);
+  runFor(Millis(60));
+  Fleet.at("i-1").DelayPolls = true;
+  const WorkId next("00000000000000aa");
+  BOOST_TEST(call("vm-1", CallerVerb::Submit, next) == "accepted");
+  for (int n = 0; n < 50 && Fleet.running() == 0; ++n)
+    runFor(Millis(2));
+  BOOST_REQUIRE(Fleet.running() == 1U);
+  runFor(Millis(10));
+  Store.put(Servers, {"i-2", "ready"});
+  Fleet.at("i-1").Unreachable = true;
+  // The poll that is in flight ends without an answer after 2 s.
+  runFor(LinkOptions().LongPollWait + Millis(500));
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -254,8 +254,8 @@
       ++Metrics.DoneAfterReplacement;
   };
   events.LeasesExpired = [this](const ServerIncarnation &incarnation,
-                                const std::set<RunId> &unsettled) {
-    Planner->expireLeases(incarnation, monoNow(), unsettled);
+                                const std::set<RunId> &late) {
+    Planner->expireLeases(incarnation, monoNow(), late);
     scheduleRound();
   };
   return events;
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -49,12 +49,17 @@
   }
 }
 
-std::vector<RunId> ServerLink::unsettledStarts() const {
+std::set<RunId> ServerLink::lateStarts() const {
   const MonoTime now = monoNow();
   std::set<RunId> out;
   for (const auto &[run, until] : LateStarts)
     if (now < until)
       out.insert(run);
+  return out;
+}
+
+std::vector<RunId> ServerLink::unsettledStarts() const {
+  std::set<RunId> out = lateStarts();
   for (const auto &[run, it] : TrackedRuns)
     if (it.StartConfirmedAt && !it.Listed)
       out.insert(run);
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -112,17 +112,16 @@
 }
 
 void ServerLink::releaseSettledRuns() {
-  const std::vector<RunId> unsettled = unsettledStarts();
-  const std::set<RunId> kept(unsettled.begin(), unsettled.end());
+  const std::set<RunId> late = lateStarts();
   const std::size_t released = std::erase_if(
-      TrackedRuns, [&](const auto &it) { return !kept.contains(it.first); });
+      TrackedRuns, [&](const auto &it) { return !late.contains(it.first); });
   if (released == 0)
     return;
   Log("server", "leases_lapsed",
-      "server={} born={} runs={} unsettled={} ended_ms_ago={}",
+      "server={} born={} runs={} late_starts={} ended_ms_ago={}",
       Incarnation.Id.str(), Incarnation.StartedAtMs, released,
       TrackedRuns.size(), (monoNow() - latestLeaseEnd()).count());
-  Notify.LeasesExpired(Incarnation, kept);
+  Notify.LeasesExpired(Incarnation, late);
 }
 
 void ServerLink::applyLists(MonoTime sentAt, const PollAnswer &answer) {
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -205,10 +205,11 @@
   void moveUncertainRun(const TaskName &task, std::uint32_t run,
                         const ServerIncarnation &from,
                         const ServerIncarnation &to, MonoTime now);
-  /// All leases of this incarnation have expired: its runs but for `unsettled`
-  /// may start elsewhere. The server stays and may become reachable again.
+  /// All leases of this incarnation have expired: its runs may start elsewhere,
+  /// but for those that the server may begin `late`. It stays and may become
+  /// reachable again.
   void expireLeases(const ServerIncarnation &incarnation, MonoTime now,
-                    const std::set<RunId> &unsettled = {});
+                    const std::set<RunId> &late = {});
 
   /// Takes over the speed of a machine as an earlier owner estimated it.
   void restoreSpeed(const std::string &machine, double speed) {
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -86,9 +86,9 @@
 }
 
 void PodPlanner::expireLeases(const ServerIncarnation &incarnation,
-                              MonoTime now, const std::set<RunId> &unsettled) {
+                              MonoTime now, const std::set<RunId> &late) {
   releaseAll(incarnation, causeOfLoss(incarnation, LossCause::ExpiredLease),
-             now, unsettled);
+             now, late);
 }
 
 void PodPlanner::releaseAll(const ServerIncarnation &incarnation,
