--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -12,12 +12,13 @@
 flags=(-std=c++20 -O1 -w $(pkg-config --cflags libevent fmt 2>/dev/null || true))
 objects=()
 compile() {
-  local object="$out/$(basename "$1" .cpp).o"
+  local name="$(basename "$1")"
+  local object="$out/${name%.*}.o"
   objects+=("$object")
   g++ "${flags[@]}" "${includes[@]}" -c "$1" -o "$object" &
 }
 for it in platform/standins/store_standin.cpp \
-    packages/store/src/memory_store.cpp review/lib-3/{deployment,workers}.cpp
+    packages/store/src/memory_store.cpp review/lib-3/{deployment,workers}.cc
 do
   compile "$it"
 done
@@ -26,7 +27,7 @@
 for it in control store workload policy net base; do
   libraries+=("target/packages/$it/libcitrongap_$it.a")
 done
-for source in review/1[1-5]/*.cpp; do
+for source in review/1[1-5]/*.cc; do
   [ -e "$source" ] || continue
   name="case-$(basename "$(dirname "$source")")"
   g++ "${flags[@]}" "${includes[@]}" "$source" "${objects[@]}" \
