An entry of another writer ends no server that answers

Cause: the decoder took an entry without these fields for a server's own, and the owner took any entry of the same machine that was not older for the machine's next life and released the runs of the known one at once.

An entry of the same start replaces nothing, and a later one only replaces a server that gives no answer as the same incarnation when asked. A server that is gone is known by its failed poll as before, so a restart costs one answer's time (0.7 s) at the most.

Two tests modelled a machine that restarts while its earlier process goes on answering polls: stale_entry_of_a_machine_does_not_end_its_new_incarnation and server_with_a_clock_set_back_is_used_again. The earlier process no longer answers there; what they check is unchanged.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -102,8 +102,16 @@
   /// the entry's one.
   std::set<ServerIncarnation> rivalsOf(const ServerEntry &entry) const;
   /// Drops the incarnations that the entry's one replaces; false if the entry
-  /// is of an earlier one.
-  bool replaceRivals(const ServerEntry &entry);
+  /// is of an earlier one, or until it is known that they don't answer.
+  bool replaceRivals(const ServerEntry &entry, const KeyedRecord &record);
+  /// Whether one of them may still live: its server is asked, and `record` is
+  /// applied again if it does not answer.
+  bool awaitsRivals(const std::set<ServerIncarnation> &rivals,
+                    const ServerEntry &entry, const KeyedRecord &record);
+  void onRivalChecked(const ServerIncarnation &rival,
+                      const ServerIncarnation &claimant, bool alive);
+  /// Applies the claims against which no server has spoken.
+  void reviewClaims();
   /// `other` started later than `known`, or `known` is silent without runs.
   bool mayReplace(const ServerIncarnation &known,
                   const ServerIncarnation &other) const;
@@ -218,6 +226,14 @@
   std::set<std::string> NamedServices;
   /// Latest entries that name another service, by server.
   std::map<BackendServerId, KeyedRecord> UnnamedEntries;
+  /// Entry of an incarnation that would replace others, which are asked first.
+  struct Claim {
+    KeyedRecord Record;
+    /// Whether each of them was asked without an answer; false while it is
+    /// being asked.
+    std::map<ServerIncarnation, bool> Silent;
+  };
+  std::map<ServerIncarnation, Claim> Claims;
   /// A listed server whose entry is missing. The server may still run.
   struct MissingEntry {
     MonoTime Since;
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -121,6 +121,10 @@
     if (!OthersBarred)
       OthersLeaseEnd = std::max(OthersLeaseEnd, end);
   }
+  /// Asks the server whether this incarnation lives, beside the long poll.
+  /// `done` gets false if another one answers, or none in time; it is not
+  /// called once the link is inactive.
+  void checkAlive(std::function<void(bool alive)> done);
   /// Until allowRenewals(), no lease is renewed or begun: the store may tell a
   /// later owner that the leases end.
   void barRenewals() { RenewalsBarred = true; }
@@ -132,6 +136,8 @@
   bool awaitsRenewals() const {
     return RenewalsBarred && Synchronized && FailedPolls == 0;
   }
+  /// The latest poll got no answer from this incarnation.
+  bool lastPollFailed() const { return FailedPolls > 0; }
   /// An inactive link renews no leases and sends no orders.
   void setActive(bool active) { Active = active; }
   /// Polls if runs, unacknowledged run ends or failed polls call for it.
--- a/packages/control/src/entry_node_test.cpp
+++ b/packages/control/src/entry_node_test.cpp
@@ -296,6 +296,7 @@
   BOOST_REQUIRE(Fleet.at("i-3").Running.size() == 1U);
   // The machine restarts under another id, and the stale entry is read once
   // more before it expires.
+  Fleet.at("i-3").Unreachable = true;
   Store.put(Servers, {"i-2", "ready 5 m-1"});
   runFor(Millis(100));
   BOOST_REQUIRE(Fleet.at("i-2").Running.size() == 1U);
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -155,6 +155,7 @@
   Links.clear();
   ListedServers.clear();
   UnnamedEntries.clear();
+  Claims.clear();
   MissingSince.clear();
   ReportedAfter.clear();
   LastReadAt.clear();
@@ -257,6 +258,7 @@
   RetiredAppender.reset();
   if (!Active || AppendInFlight)
     return;
+  reviewClaims();
   dropMissingServers();
   if (monoNow() >= NextUnlistedCheck) {
     NextUnlistedCheck = monoNow() + Options.TickInterval;
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -15,6 +15,7 @@
   const BackendServerId id(record.Key);
   UnnamedEntries.erase(id);
   if (!record.Value) {
+    std::erase_if(Claims, [&](const auto &it) { return it.first.Id == id; });
     onEntryRemoved(id);
     return;
   }
@@ -31,7 +32,8 @@
     UnnamedEntries.emplace(id, record);
     return;
   }
-  if (EndedIncarnations.contains(entry->Incarnation) || !replaceRivals(*entry))
+  if (EndedIncarnations.contains(entry->Incarnation) ||
+      !replaceRivals(*entry, record))
     return;
   LastReadAt[entry->Incarnation] = monoNow();
   noteReport(id);
@@ -127,57 +129,6 @@
     ReportedAfter.erase(id);
 }
 
-std::set<ServerIncarnation>
-PodController::rivalsOf(const ServerEntry &entry) const {
-  std::set<ServerIncarnation> rivals;
-  const auto listed = ListedServers.find(entry.Incarnation.Id);
-  if (listed != ListedServers.end())
-    rivals.insert(listed->second.Incarnation);
-  const auto latest = LatestIncarnations.find(entry.Machine);
-  if (latest != LatestIncarnations.end() &&
-      !EndedIncarnations.contains(latest->second))
-    rivals.insert(latest->second);
-  rivals.erase(entry.Incarnation);
-  return rivals;
-}
-
-bool PodController::replaceRivals(const ServerEntry &entry) {
-  const ServerIncarnation &added = entry.Incarnation;
-  const std::set<ServerIncarnation> rivals = rivalsOf(entry);
-  for (const ServerIncarnation &it : rivals)
-    if (!mayReplace(it, added)) {
-      Log("servers", "entry_of_a_past_life", "server={} born={} latest={}",
-          added.Id.str(), added.StartedAtMs, it.Id.str());
-      return false;
-    }
-  for (const ServerIncarnation &it : rivals) {
-    if (it.Id == added.Id)
-      replaceServer(it, added, "the server restarted");
-    else
-      dropServer(it, "its machine runs another server");
-    if (added.StartedAtMs < it.StartedAtMs) {
-      // Not certain to have ended: it may only have been silent.
-      EndedIncarnations.erase(it);
-      ReplacedByEarlier.insert(it);
-    }
-  }
-  if (!entry.Machine.empty())
-    LatestIncarnations.insert_or_assign(entry.Machine, added);
-  return true;
-}
-
-bool PodController::mayReplace(const ServerIncarnation &known,
-                               const ServerIncarnation &other) const {
-  if (other.StartedAtMs >= known.StartedAtMs &&
-      !ReplacedByEarlier.contains(other))
-    return true;
-  // A late entry, or the server's clock was set back before it restarted.
-  const auto read = LastReadAt.find(known);
-  const bool silent = read == LastReadAt.end() ||
-                      monoNow() - read->second >= Options.ReportTimeout;
-  return Active && silent && Planner->runsPlacedOn(known).empty();
-}
-
 bool PodController::hasEnded(const ServerIncarnation &incarnation) const {
   if (EndedIncarnations.contains(incarnation))
     return true;
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -33,6 +33,23 @@
   sendPoll({}, false);
 }
 
+void ServerLink::checkAlive(std::function<void(bool)> done) {
+  Fleet.poll(Address, Incarnation, {}, Token, monoNow() + Options.AnswerTimeout,
+             [this, done = std::move(done), alive = std::weak_ptr<int>(Alive)](
+                 const FleetResult<PollAnswer> &result) {
+               if (!alive.lock() || !Active)
+                 return;
+               if (const auto *answer = std::get_if<PollAnswer>(&result)) {
+                 done(answer->StartedAtMs.value_or(Incarnation.StartedAtMs) ==
+                      Incarnation.StartedAtMs);
+                 return;
+               }
+               // A server that was fenced by another owner has answered.
+               done(std::holds_alternative<ServerFenced>(
+                   std::get<FleetError>(result)));
+             });
+}
+
 void ServerLink::sendPoll(PollRequest request, bool isLongPoll) {
   const MonoTime now = monoNow();
   // A poll that the server's next incarnation carries out late acknowledges
--- a/packages/control/src/server_list_test.cpp
+++ b/packages/control/src/server_list_test.cpp
@@ -90,11 +90,41 @@
   BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
 }
 
+// Guards against an entry of another writer that names the machine of a server
+// that is up: the server was dropped, and its runs started elsewhere beside it.
+BOOST_AUTO_TEST_CASE(entry_beside_a_server_that_answers_moves_no_run) {
+  startOn("i-3", "ready 5 m-1");
+  Store.put(Servers, {"i-2", "ready"});
+  for (const char *entry : {"ready 5 m-1", "ready 7 m-1"}) {
+    list("i-9", entry);
+    runFor(Millis(200));
+    list("i-3", "ready 5 m-1");
+    BOOST_TEST(Fleet.running() == 1U, entry);
+    BOOST_TEST(Fleet.started() == 1U, entry);
+  }
+  // The server remains in use.
+  Fleet.end("i-3", Fleet.anyRun().second, RunOutcome::Done);
+  runFor(Millis(60));
+  BOOST_TEST(state("vm-1") == "completed");
+}
+
+// A machine that runs another server is known by the silence of the earlier
+// one, also if that ends after the entry was read.
+BOOST_AUTO_TEST_CASE(next_server_of_a_machine_takes_over_from_a_silent_one) {
+  startOn("i-3", "ready 5 m-1");
+  Fleet.at("i-3").Silent = true;
+  Store.put(Servers, {"i-3", std::nullopt});
+  list("i-9", "ready 7 m-1");
+  runFor(Millis(200));
+  BOOST_TEST(Fleet.at("i-9").Started.size() == 1U);
+}
+
 // Guards against a server that is lost for good since its clock was set back
 // before it restarted.
 BOOST_AUTO_TEST_CASE(server_with_a_clock_set_back_is_used_again) {
   Store.put(Servers, {"i-1", std::nullopt});
   list("i-3", "draining 5 m-1");
+  Fleet.ReportedStartMs = 1;
   report("i-3", "ready 1 m-1");
   BOOST_TEST(submit("vm-1") == "accepted");
   runFor(Millis(100));
