A cancellation of an unknown job bars its later submission

Cause: the entry VM repeats an undecided batch after its caller was told, and the cancellation left nothing in the store that would stop it.

Ruled out: a stale read at the second entry VM.

Change: a cancellation of a job that the store does not hold is stored, with the account that asked, before it is answered 410. Whoever stores the submission later, the owner cancels it when it reads both. It is removed after 150 s.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -37,6 +37,9 @@
   Millis OwnershipTimeout{1500};
   /// Ended jobs can be queried for at least this long.
   Millis EndedJobRetention{150000};
+  /// A cancellation without a submission is kept for as long. Longer than an
+  /// entry VM tries to store a submission that it has called unknown.
+  Millis EarlyCancellationRetention{150000};
   /// They are removed in this interval, 30 s later than required at the latest.
   Millis EndedJobCleanupInterval{10000};
   /// The store removes the entry of a server that has not reported for this
--- a/packages/control/include/citrongap/control/request_front.h
+++ b/packages/control/include/citrongap/control/request_front.h
@@ -130,6 +130,9 @@
   void cancelWhenCurrent(const JobQuestion &question, const Reply &reply);
   void cancel(const JobQuestion &question, MonoTime askedAt,
               const Reply &reply);
+  /// Cancels a job of which the store holds no submission. One may still be
+  /// stored later: its entry VM retries it.
+  void cancelEarly(const JobQuestion &question, const Reply &reply);
   bool hasOccurred(const Awaited &awaited, const WorkId &id,
                    bool afterRead) const;
   /// All jobs that the store had at this time are known.
--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -20,12 +20,19 @@
 std::string specKey(const WorkId &id);
 std::string stateKey(const WorkId &id);
 std::string cancelKey(const WorkId &id);
+/// Cancels a known job.
+KeyedRecord cancellation(const WorkId &id);
+/// Cancels the job if its submission is stored later, by the account that asked
+/// for it and may cancel that job.
+KeyedRecord earlyCancellation(const WorkId &id, const ClientAccountId &by);
 /// Key of the address at which an entry VM accepts calls from peers.
 std::string peerKey(const EntryVmId &id);
 
 /// Key of the address of an entry VM that loads all jobs and answers questions
 /// about them.
 std::string holderKey(const EntryVmId &id);
+/// Whether a client account may ask about the job and cancel it.
+bool belongsTo(const WorkSpec &spec, const ClientAccountId &account);
 /// Key of the end of the leases on a backend server; see leasesEndFrom().
 std::string leaseEndKey(const BackendServerId &id);
 /// Key by which an entry VM states that it writes and withdraws those.
@@ -40,12 +47,20 @@
   /// See WorkSummary.
   bool WasPlaced = false;
   bool CancelRequested = false;
+  /// A cancellation that came when no submission of the job was known.
+  struct EarlyCancellation {
+    ClientAccountId By;
+    MonoTime ReadAt;
+  };
+  std::optional<EarlyCancellation> CancelledEarly;
   /// Newest record of its state as stored, readable or not; empty before the
   /// first.
   std::string State;
   /// The latest load has not found it: it was deleted, or its submission
   /// follows in order.
   bool Unfound = false;
+  /// The same of `CancelledEarly`.
+  bool CancellationUnfound = false;
 };
 
 class WorkRegistry {
@@ -70,6 +85,10 @@
   /// Only jobs whose submission is known.
   const RegistryEntry *find(const WorkId &id) const;
   const std::map<WorkId, RegistryEntry> &all() const { return Entries; }
+  /// Whether the account has cancelled the job before its submission was known.
+  bool cancelledEarly(const WorkId &id, const ClientAccountId &by) const;
+  /// Jobs without a submission that were cancelled before this time.
+  std::vector<WorkId> earlyCancellationsBefore(MonoTime at) const;
   /// Number of jobs of the queue that are neither started nor cancelled.
   std::size_t queuedJobs(const QueueId &queue) const;
 
@@ -97,6 +116,7 @@
   /// Removes the part of the job that a key of this kind holds. The records of
   /// one key say nothing of the others: a load may be ahead of some keys only.
   void remove(char kind, const WorkId &id);
+  void applyCancellation(const WorkId &id, const std::string &value);
   void applyLeaseEnd(const BackendServerId &id, const KeyedRecord &record);
   void applySpeeds(const KeyedRecord &record);
   /// An entry VM has published its address, or that it writes lease ends.
--- a/packages/control/src/cancellation_test.cpp
+++ b/packages/control/src/cancellation_test.cpp
@@ -50,4 +50,66 @@
     BOOST_TEST(cancel(vm, WorkId("00000000000000aa")) == "no_job");
 }
 
+// Guards against a submission that its entry VM stores after its caller was
+// told "unknown" and another entry VM called its cancellation "no such job":
+// the job ran.
+BOOST_AUTO_TEST_CASE(submission_stored_after_its_cancellation_never_runs) {
+  Vms.at("vm-2")->View.Faults.Silent = true;
+  BOOST_TEST(submit("vm-2") == "unknown");
+  BOOST_TEST(cancel("vm-1", Job) == "no_job");
+  Vms.at("vm-2")->View.Faults.Silent = false;
+  runFor(Millis(200));
+  BOOST_TEST(Fleet.started() == 0U);
+  for (const char *vm : {"vm-1", "vm-2"})
+    BOOST_TEST(state(vm) == "cancelled");
+}
+
+// The same, under an owner that has loaded the cancellation from the store.
+BOOST_AUTO_TEST_CASE(next_owner_knows_of_the_cancellation) {
+  Vms.at("vm-2")->View.Faults.Silent = true;
+  BOOST_TEST(submit("vm-2") == "unknown");
+  BOOST_TEST(cancel("vm-1", Job) == "no_job");
+  Store.compact(Jobs);
+  add("vm-3");
+  runFor(Millis(200));
+  kill("vm-1");
+  Vms.at("vm-2")->View.Faults.Silent = false;
+  runFor(Millis(500));
+  BOOST_TEST(Fleet.started() == 0U);
+  BOOST_TEST(state("vm-3") == "cancelled");
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_id_is_not_accepted_again) {
+  BOOST_TEST(cancel("vm-1", Job) == "no_job");
+  runFor(Millis(60));
+  for (const char *vm : {"vm-1", "vm-2"})
+    BOOST_TEST(submit(vm) == "invalid");
+}
+
+// Guards against a client account that cancels another one's job before that is
+// known.
+BOOST_AUTO_TEST_CASE(early_cancellation_by_another_account_has_no_effect) {
+  BOOST_TEST(call("vm-1", CallerVerb::Cancel, Job, "", "key-2") == "no_job");
+  runFor(Millis(60));
+  BOOST_TEST(submit("vm-2") == "accepted");
+  runFor(Millis(60));
+  BOOST_TEST(state("vm-1") == "running");
+}
+
+// Guards against cancellations without a submission that gather in the store.
+BOOST_AUTO_TEST_CASE(early_cancellations_are_removed) {
+  kill("vm-1");
+  kill("vm-2");
+  CleanupInterval = Millis(100);
+  EarlyCancellationRetention = Millis(300);
+  add("vm-3");
+  runFor(Millis(400));
+  BOOST_TEST(cancel("vm-3", Job) == "no_job");
+  BOOST_TEST(submit("vm-3") == "invalid");
+  runFor(Millis(600));
+  BOOST_TEST(submit("vm-3") == "accepted");
+  runFor(Millis(60));
+  BOOST_TEST(state("vm-3") == "running");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -126,6 +126,8 @@
       out.Controller.TickInterval = Millis(10);
       out.Controller.ServerListInterval = Millis(20);
       out.Controller.EndedJobCleanupInterval = site.CleanupInterval;
+      out.Controller.EarlyCancellationRetention =
+          site.EarlyCancellationRetention;
       out.Controller.Planner.BeginRecordDelay = site.BeginRecordDelay;
       out.Controller.Planner.SpeedUpdateInterval = Millis(50);
       out.Controller.SpeedRecordInterval = Millis(20);
@@ -162,6 +164,8 @@
   /// Interval in which an owner removes ended jobs, for entry VMs that are
   /// added later.
   Millis CleanupInterval{10000};
+  /// Time for which they keep cancellations without a submission.
+  Millis EarlyCancellationRetention{10000};
   /// Largest batch of several appends, for entry VMs that are added later.
   std::size_t MaxBatchBytes = AppenderOptions().MaxBatchBytes;
   /// Entry VMs that are added later get no pages of more than this many bytes.
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -393,6 +393,9 @@
     tombstones.push_back({stateKey(id), std::nullopt});
     tombstones.push_back({cancelKey(id), std::nullopt});
   }
+  for (const WorkId &it : Registry.earlyCancellationsBefore(
+           monoNow() - Options.EarlyCancellationRetention))
+    tombstones.push_back({cancelKey(it), std::nullopt});
   // The leases have ended long since.
   for (const BackendServerId &it :
        Registry.leaseEndsReadBefore(monoNow() - LeaseEndRetention))
--- a/packages/control/src/request_front.cpp
+++ b/packages/control/src/request_front.cpp
@@ -166,6 +166,12 @@
     }
     return;
   }
+  if (Registry.cancelledEarly(id, account)) {
+    Findings findings;
+    findings.add("path", "ends with the id of a job that was cancelled");
+    reply(AnswerInvalid{std::move(findings)});
+    return;
+  }
   auto parsed = ParseSubmission(request.Body);
   if (auto *findings = std::get_if<Findings>(&parsed)) {
     reply(AnswerInvalid{std::move(*findings)});
@@ -205,9 +211,7 @@
 RequestFront::findVisible(const WorkId &id,
                           const ClientAccountId &account) const {
   const RegistryEntry *entry = Registry.find(id);
-  const bool foreign =
-      entry && !entry->Spec->Account.empty() && entry->Spec->Account != account;
-  return foreign ? nullptr : entry;
+  return entry && belongsTo(*entry->Spec, account) ? entry : nullptr;
 }
 
 void RequestFront::cancelWhenCurrent(const JobQuestion &question,
@@ -326,10 +330,12 @@
   const RegistryEntry *entry = findVisible(question.Id, question.Account);
   if (!entry) {
     // Another entry VM may have accepted the job just before.
-    if (hasReadUpTo(askedAt))
+    if (!hasReadUpTo(askedAt))
+      reply(AnswerNotRun{"jobs are not known to the end", StoreRetryAfter});
+    else if (Registry.find(question.Id))
       reply(AnswerJobNotFound{});
     else
-      reply(AnswerNotRun{"jobs are not known to the end", StoreRetryAfter});
+      cancelEarly(question, reply);
     return;
   }
   if (entry->CancelRequested || ended(entry->Phase)) {
@@ -340,7 +346,7 @@
     reply(AnswerNotRun{"the store is out of reach", StoreRetryAfter});
     return;
   }
-  const KeyedRecord record{cancelKey(question.Id), "1"};
+  const KeyedRecord record = cancellation(question.Id);
   storeRecords({record}, question.Deadline, reply,
                [this, record]() -> CallerAnswer {
                  Registry.apply(record);
@@ -348,6 +354,22 @@
                });
 }
 
+void RequestFront::cancelEarly(const JobQuestion &question,
+                               const Reply &reply) {
+  if (!connected()) {
+    reply(AnswerNotRun{"the store is out of reach", StoreRetryAfter});
+    return;
+  }
+  const KeyedRecord record = earlyCancellation(question.Id, question.Account);
+  storeRecords({record}, question.Deadline, reply,
+               [this, question, record]() -> CallerAnswer {
+                 Registry.apply(record);
+                 if (findVisible(question.Id, question.Account))
+                   return AnswerCancelled{};
+                 return AnswerJobNotFound{};
+               });
+}
+
 void RequestFront::storeRecords(std::vector<KeyedRecord> records,
                                 MonoTime deadline, const Reply &reply,
                                 std::function<CallerAnswer()> onStored) {
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -9,19 +9,36 @@
 
 #include <algorithm>
 #include <charconv>
+#include <string_view>
 #include <utility>
 
 namespace citrongap {
 
+namespace {
+
+/// Begins the value of a cancellation that came before the submission; the
+/// account follows.
+constexpr std::string_view EarlyMark = "?";
+
+} // namespace
+
 std::string specKey(const WorkId &id) { return "j/" + id.str(); }
 std::string stateKey(const WorkId &id) { return "s/" + id.str(); }
 std::string cancelKey(const WorkId &id) { return "c/" + id.str(); }
+KeyedRecord cancellation(const WorkId &id) { return {cancelKey(id), "1"}; }
+KeyedRecord earlyCancellation(const WorkId &id, const ClientAccountId &by) {
+  return {cancelKey(id), std::string(EarlyMark) + by.str()};
+}
 std::string peerKey(const EntryVmId &id) { return "v/" + id.str(); }
 std::string holderKey(const EntryVmId &id) { return "w/" + id.str(); }
 std::string leaseEndKey(const BackendServerId &id) { return "l/" + id.str(); }
 std::string leaseEndWriterKey(const EntryVmId &id) { return "m/" + id.str(); }
 std::string keyBeforePeers() { return "u"; }
 
+bool belongsTo(const WorkSpec &spec, const ClientAccountId &account) {
+  return spec.Account.empty() || spec.Account == account;
+}
+
 void WorkRegistry::apply(const KeyedRecord &record) {
   const auto slash = record.Key.find('/');
   if (slash != 1)
@@ -59,12 +76,11 @@
           std::get<Findings>(spec).text());
     return;
   }
-  RegistryEntry &entry = Entries[id];
   if (kind == 'c') {
-    if (!std::exchange(entry.CancelRequested, true) && OnJobChange)
-      OnJobChange(id);
+    applyCancellation(id, *record.Value);
     return;
   }
+  RegistryEntry &entry = Entries[id];
   if (kind != 's')
     return;
   // Kept even if it can't be read, so that no owner goes on from the one
@@ -81,6 +97,20 @@
   }
 }
 
+void WorkRegistry::applyCancellation(const WorkId &id,
+                                     const std::string &value) {
+  RegistryEntry &entry = Entries[id];
+  if (value.starts_with(EarlyMark)) {
+    const ClientAccountId by(value.substr(EarlyMark.size()));
+    entry.CancelledEarly = {by, monoNow()};
+    entry.CancellationUnfound = false;
+    if (!entry.Spec || !belongsTo(*entry.Spec, by))
+      return;
+  }
+  if (!std::exchange(entry.CancelRequested, true) && OnJobChange)
+    OnJobChange(id);
+}
+
 void WorkRegistry::applyLeaseEnd(const BackendServerId &id,
                                  const KeyedRecord &record) {
   LeaseEnds.erase(id);
@@ -142,13 +172,15 @@
     entry.Spec.reset();
   } else if (kind == 'c') {
     entry.CancelRequested = false;
+    entry.CancelledEarly.reset();
   } else if (kind == 's') {
     entry.Phase = WorkPhase::Queued;
     entry.WasPlaced = false;
     entry.EndedAtMs = 0;
     entry.State.clear();
   }
-  if (!entry.Spec && !entry.CancelRequested && entry.State.empty())
+  if (!entry.Spec && !entry.CancelRequested && !entry.CancelledEarly &&
+      entry.State.empty())
     Entries.erase(found);
 }
 
@@ -160,6 +192,8 @@
   const WorkId id = spec.Id;
   if (!entry.Spec)
     entry.Spec = std::move(spec);
+  if (entry.CancelledEarly && belongsTo(*entry.Spec, entry.CancelledEarly->By))
+    entry.CancelRequested = true;
   if (OnJobChange)
     OnJobChange(id);
 }
@@ -171,14 +205,22 @@
   std::erase_if(SpeedRecordOfGroup, [&](const auto &it) {
     return !keys.contains(speedKey(it.first));
   });
-  for (auto &[id, entry] : Entries)
+  for (auto &[id, entry] : Entries) {
     entry.Unfound = !keys.contains(specKey(id)) && !keys.contains(stateKey(id));
+    entry.CancellationUnfound = !keys.contains(cancelKey(id));
+  }
   return std::erase_if(Entries, [](const auto &it) {
     return it.second.Unfound && ended(it.second.Phase);
   });
 }
 
 std::size_t WorkRegistry::removeUnfound() {
+  for (auto &[id, entry] : Entries)
+    if (entry.Unfound && entry.CancelledEarly && !entry.CancellationUnfound) {
+      RegistryEntry kept;
+      kept.CancelledEarly = std::move(entry.CancelledEarly);
+      entry = std::move(kept);
+    }
   return std::erase_if(Entries,
                        [](const auto &it) { return it.second.Unfound; });
 }
@@ -188,6 +230,22 @@
   return it == Entries.end() || !it->second.Spec ? nullptr : &it->second;
 }
 
+bool WorkRegistry::cancelledEarly(const WorkId &id,
+                                  const ClientAccountId &by) const {
+  const auto it = Entries.find(id);
+  return it != Entries.end() && it->second.CancelledEarly &&
+         it->second.CancelledEarly->By == by;
+}
+
+std::vector<WorkId> WorkRegistry::earlyCancellationsBefore(MonoTime at) const {
+  std::vector<WorkId> out;
+  for (const auto &[id, entry] : Entries)
+    if (entry.CancelledEarly && entry.CancelledEarly->ReadAt < at &&
+        !entry.Spec && entry.State.empty())
+      out.push_back(id);
+  return out;
+}
+
 std::size_t WorkRegistry::queuedJobs(const QueueId &queue) const {
   std::size_t n = 0;
   for (const auto &[id, entry] : Entries)
