An entry VM gives up an undecided batch after a minute

After a cut that outlasts the retention of ended jobs (150 s) it stored a submission whose job had been accepted elsewhere, had ended and was forgotten, so that it would run again; an early cancellation would be forgotten too.

Evidence: batch_that_may_be_appended_is_given_up_in_time failed without the change (it never ends) and holds with it.

Change: after 60 s such a batch ends as unknown, and the next epoch bars its late attempts.

--- a/packages/control/include/citrongap/control/entry_node.h
+++ b/packages/control/include/citrongap/control/entry_node.h
@@ -34,7 +34,8 @@
   ControllerOptions Controller;
   ElectionOptions Election;
   /// After 0.4 s of refusals, the caller should try another entry VM.
-  AppenderOptions Appender{.RefusalTimeout = Millis(400)};
+  AppenderOptions Appender{.RefusalTimeout = Millis(400),
+                           .UnknownTimeout = Millis(60000)};
   /// Interval of reads of the jobs topic by an entry VM that is not the owner;
   /// queries trigger earlier reads. In a burst, 25 KB arrive per interval,
   /// which take 20 ms on a 10 Mbit/s link.
--- a/packages/store/include/citrongap/store/batch_appender.h
+++ b/packages/store/include/citrongap/store/batch_appender.h
@@ -25,6 +25,9 @@
   /// A batch fails after it was refused for this long, provided that no
   /// attempt of it can have been appended. Zero: retry without a limit.
   Millis RefusalTimeout{0};
+  /// A batch that may have been appended is given up after this long: its
+  /// callers were told so long before. Zero: retry without a limit.
+  Millis UnknownTimeout{0};
   /// Largest batch of several appends, in bytes of its records. Half of what
   /// the store takes in one call.
   std::size_t MaxBatchBytes = StoreLimits::CallBytes / 2;
--- a/packages/store/src/batch_appender.cpp
+++ b/packages/store/src/batch_appender.cpp
@@ -99,9 +99,14 @@
     OnRetry(describe(error));
   if (leavesUnknown(error))
     OutcomeUnknown = true;
-  if (std::holds_alternative<StoreBusy>(error) && !OutcomeUnknown &&
-      Options.RefusalTimeout.count() > 0 &&
-      monoNow() - FirstAttemptAt >= Options.RefusalTimeout) {
+  const Millis age = monoNow() - FirstAttemptAt;
+  const auto isOver = [&](Millis limit) {
+    return limit.count() > 0 && age >= limit;
+  };
+  const bool isRefused =
+      std::holds_alternative<StoreBusy>(error) && !OutcomeUnknown;
+  if ((isRefused && isOver(Options.RefusalTimeout)) ||
+      (OutcomeUnknown && isOver(Options.UnknownTimeout))) {
     failBatch();
     return;
   }
--- a/packages/store/src/batch_appender_test.cpp
+++ b/packages/store/src/batch_appender_test.cpp
@@ -149,6 +149,23 @@
   BOOST_TEST(answers == 0);
 }
 
+// Guards against a submission that is stored long after its caller was told
+// that it may have been accepted: its job may have ended and be forgotten.
+BOOST_AUTO_TEST_CASE(batch_that_may_be_appended_is_given_up_in_time) {
+  AppenderOptions options = QuickOptions;
+  options.UnknownTimeout = Millis(100);
+  BatchAppender appender(Loop, View, Jobs, "vm-5", Epoch(1), options);
+  View.Faults.Silent = true;
+  append(appender, "late");
+  runUntil([&] { return Unknown == 1; });
+  View.Faults.Silent = false;
+  append(appender, "next");
+  runUntil([&] { return appender.idle(); });
+  BOOST_TEST(Appended == 1);
+  BOOST_TEST(Store.records(Jobs).size() == 1U);
+  BOOST_TEST(Store.records(Jobs).front().Key == "next");
+}
+
 BOOST_AUTO_TEST_CASE(older_epoch_appends_nothing_after_a_newer_one) {
   append("a");
   runFor(Millis(20));
