Rounds don't grow with the due occurrences of a job

Cause: all due occurrences were added to the planner, and for each waiting one a round walked through all of its job. A round took 0.75 to 0.96 s of a whole core; the owner's session lasts 1.5 s and is renewed by the same loop.

Ruled out: the store and the size of the state (the test does no I/O).

Change: at most 64 occurrences of a job that are due and have not begun are in the planner. Rounds begin at the first occurrence that is not done, sums over a job are made once a round, and states are encoded without a copy. The demand of urgent work counts the occurrences that are due and not added.

--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -39,6 +39,14 @@
   return parts;
 }
 
+/// The state without its occurrences.
+WorkRecord headOf(const WorkRecord &record) {
+  WorkRecord head;
+  head.Phase = record.Phase;
+  head.EndedAtMs = record.EndedAtMs;
+  return head;
+}
+
 } // namespace
 
 PodController::PodController(EventLoop &loop, StorePort &store,
@@ -287,12 +295,11 @@
   recordLeaseEnds(records, renewable);
   for (const WorkId &id : Planner->takeChangedWork()) {
     const PlannedWork &work = *Planner->find(id);
-    WorkRecord copy = work.Record;
-    if (ended(copy.Phase) && !copy.anyPlaced())
-      copy.Occurrences.clear();
-    records.push_back({stateKey(id), encode(copy)});
-    if (ended(copy.Phase) && copy.Occurrences.empty())
-      Log("job", describe(copy.Phase), "request={} account={} age_ms={}",
+    const bool isOver = ended(work.Record.Phase) && !work.Record.anyPlaced();
+    records.push_back({stateKey(id), isOver ? encode(headOf(work.Record))
+                                            : encode(work.Record)});
+    if (isOver)
+      Log("job", describe(work.Record.Phase), "request={} account={} age_ms={}",
           id.str(), work.Spec.Account.str(),
           toMillis(wallNow()) - work.Spec.AcceptedAtMs);
   }
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -168,6 +168,10 @@
   /// than the platform's bounds on the start of guaranteed work (3.4 s) and on
   /// jobs without a start while there is room (3 s).
   Millis MaxSpeedWait{1500};
+  /// Occurrences of a job that are due and of which no task was started yet;
+  /// more are added as these begin. The time of a round and the size of a
+  /// job's state thus don't grow with the number of due occurrences.
+  std::uint32_t MaxUnbegunOccurrences = 64;
   /// Interval in which the speeds are computed from new samples.
   Millis SpeedUpdateInterval{1000};
 };
@@ -176,6 +180,15 @@
 struct PlannedWork {
   WorkSpec Spec;
   WorkRecord Record;
+  /// Invariant: all occurrences before this one are done.
+  std::size_t FirstOpen = 0;
+  /// Of the round in progress, computed when first needed.
+  struct RoundSums {
+    /// Tasks that may still be started for the first time.
+    std::optional<std::size_t> FirstStarts;
+    std::optional<bool> AnyPlaced;
+  };
+  RoundSums InRound;
 };
 
 /// Invariant: a server's free resources, `Placed` and the job records agree.
@@ -375,13 +388,16 @@
 
   // One round: pod_planner_round.cpp; preemption and reservations are in
   // pod_planner_room.cpp.
+  /// Passes over the occurrences that are done, and removes their steps.
+  static void passDoneOccurrences(PlannedWork &work);
   void addDueOccurrences(PlannedWork &work, std::int64_t wallMs, MonoTime now);
   std::vector<Unit> collectWaiting(MonoTime now, std::int64_t wallMs);
   void collectStep(const WorkId &id, PlannedWork &work, std::uint32_t k,
                    std::uint32_t step, MonoTime now, std::int64_t wallMs,
                    std::vector<Unit> &out);
   /// Leaves out tasks whose first start would not fit into the job's state.
-  void limitToStateRoom(Unit &unit) const;
+  void limitToStateRoom(Unit &unit);
+  bool anyPlaced(PlannedWork &work) const;
   std::vector<PackingServer> packingView(MonoTime now) const;
   const StepSpec &specOf(const Unit &unit) const;
   void countTasksOfStep(const Unit &unit,
@@ -458,6 +474,9 @@
   /// will fit once the stops are done.
   bool preempt(const Unit &unit, std::vector<PackingServer> &view,
                MonoTime now);
+  /// The same, once a round for the occurrences of a step that have not begun.
+  void preemptOnce(const Unit &unit, std::vector<PackingServer> &view,
+                   MonoTime now);
   std::vector<PreemptionCandidate>
   preemptionCandidates(std::uint32_t rank,
                        const std::vector<PackingServer> &view,
@@ -495,7 +514,7 @@
   /// Expected run time of a task of the step, learned from recent tasks of its
   /// queue.
   Millis expectedRunTime(const PlannedWork &work, const StepSpec &step) const;
-  void updateUrgentDemand();
+  void updateUrgentDemand(std::int64_t wallMs);
 
   PlannerOptions Options;
   ServerTable Servers;
@@ -520,6 +539,9 @@
   PackingOutcomes EmptyOutcomes;
   /// The same: what units of a rank may preempt, until something is preempted.
   std::map<std::uint32_t, std::vector<PreemptionCandidate>> RoundCandidates;
+  /// The same: steps of which an occurrence that has not begun found no room by
+  /// preemption. Their later occurrences ask for the same.
+  std::set<std::pair<WorkId, std::uint32_t>> RoundWithoutRoom;
   /// When all runs were last checked for stalls and departures; reset when a
   /// report shows a stall.
   MonoTime SweptAt;
--- a/packages/workload/include/citrongap/workload/work_spec.h
+++ b/packages/workload/include/citrongap/workload/work_spec.h
@@ -103,6 +103,9 @@
     return Repetitions ? FirstDueMs + IntervalMs * k : 0;
   }
 
+  /// Number of occurrences that are due at this wall-clock time.
+  std::uint32_t dueBy(std::int64_t wallMs) const;
+
   /// cereal hook.
   template <typename Archive> void serialize(Archive &ar) {
     ar(Id, Queue, Account, Payload, Steps, LongRunning, Repetitions, FirstDueMs,
--- a/packages/workload/include/citrongap/workload/work_state.h
+++ b/packages/workload/include/citrongap/workload/work_state.h
@@ -110,6 +110,8 @@
   std::vector<StepRecord> Steps;
 
   bool done() const;
+  /// Whether a run of any of its tasks was ever placed, or all are done.
+  bool begun() const;
 };
 
 /// The leading fields of a WorkRecord, which can be decoded without the rest.
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -1,6 +1,7 @@
 // Events of PodPlanner: changes of servers and jobs.
 #include "citrongap/workload/pod_planner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace citrongap {
@@ -144,7 +145,7 @@
   if (!hasStepsOf(spec, record))
     return;
   const auto [it, added] =
-      Works.try_emplace(spec.Id, PlannedWork{spec, std::move(record)});
+      Works.try_emplace(spec.Id, PlannedWork{spec, std::move(record), 0, {}});
   if (!added)
     return;
   PlannedWork &work = it->second;
@@ -400,10 +401,11 @@
   if (ended(work.Record.Phase) ||
       work.Record.Occurrences.size() < work.Spec.occurrences())
     return;
-  for (const Occurrence &it : work.Record.Occurrences)
-    if (!it.done())
-      return;
-  finish(id, work, WorkPhase::Completed, wallMs);
+  const auto &occurrences = work.Record.Occurrences;
+  if (std::all_of(
+          occurrences.begin() + static_cast<std::ptrdiff_t>(work.FirstOpen),
+          occurrences.end(), [](const Occurrence &it) { return it.done(); }))
+    finish(id, work, WorkPhase::Completed, wallMs);
 }
 
 void PodPlanner::completeDoneWork(std::int64_t wallMs) {
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -113,6 +113,18 @@
   return true;
 }
 
+void PodPlanner::preemptOnce(const Unit &unit, std::vector<PackingServer> &view,
+                             MonoTime now) {
+  const PlannedWork &work = Works.at(unit.Work);
+  const bool comesAgain = work.Spec.Repetitions > 0 &&
+                          !work.Record.Occurrences[unit.Occurrence].begun();
+  const std::pair step(unit.Work, unit.Step);
+  if (comesAgain && RoundWithoutRoom.contains(step))
+    return;
+  if (!preempt(unit, view, now) && comesAgain)
+    RoundWithoutRoom.insert(step);
+}
+
 void PodPlanner::reserveForUrgent(std::vector<PackingServer> &view,
                                   MonoTime now) const {
   std::map<std::string_view, std::vector<std::size_t>> services;
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -4,6 +4,7 @@
 #include "pod_planner_unit.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace citrongap {
@@ -19,28 +20,50 @@
   return within ? GuaranteedRank : UrgentRank;
 }
 
-void PodPlanner::updateUrgentDemand() {
+void PodPlanner::updateUrgentDemand(std::int64_t wallMs) {
   UrgentDemand.clear();
   for (const auto &[id, work] : Works) {
     if (work.Spec.Priority > 0 || ended(work.Record.Phase))
       continue;
+    const auto &occurrences = work.Record.Occurrences;
     std::int64_t gpus = 0;
-    for (const Occurrence &occurrence : work.Record.Occurrences)
-      for (std::size_t s = 0; s < occurrence.Steps.size(); ++s)
-        if (!occurrence.Steps[s].done())
+    for (std::size_t k = work.FirstOpen; k < occurrences.size(); ++k)
+      for (std::size_t s = 0; s < occurrences[k].Steps.size(); ++s)
+        if (!occurrences[k].Steps[s].done())
           gpus +=
               work.Spec.Steps[s].Requested.GpuCount * work.Spec.Steps[s].Count;
+    const std::size_t due = work.Spec.dueBy(wallMs);
+    std::int64_t gpusOfEach = 0;
+    for (const StepSpec &it : work.Spec.Steps)
+      gpusOfEach += it.Requested.GpuCount * it.Count;
+    if (due > occurrences.size())
+      gpus += gpusOfEach * static_cast<std::int64_t>(due - occurrences.size());
     UrgentDemand[work.Spec.Account] += gpus;
   }
 }
 
+void PodPlanner::passDoneOccurrences(PlannedWork &work) {
+  auto &occurrences = work.Record.Occurrences;
+  // Only the steps of the others are needed to tell whether the job is done.
+  for (; work.FirstOpen < occurrences.size() &&
+         occurrences[work.FirstOpen].done();
+       ++work.FirstOpen)
+    if (work.Spec.Repetitions > 0)
+      std::vector<StepRecord>().swap(occurrences[work.FirstOpen].Steps);
+}
+
 void PodPlanner::addDueOccurrences(PlannedWork &work, std::int64_t wallMs,
                                    MonoTime now) {
   auto &occurrences = work.Record.Occurrences;
-  while (occurrences.size() < work.Spec.occurrences() &&
-         wallMs >= work.Spec.dueAtMs(
-                       static_cast<std::uint32_t>(occurrences.size())) &&
-         makeStateRoom(work.Spec, work.Record)) {
+  const std::size_t due = work.Spec.dueBy(wallMs);
+  if (occurrences.size() >= due)
+    return;
+  auto unbegun = std::count_if(
+      occurrences.begin() + static_cast<std::ptrdiff_t>(work.FirstOpen),
+      occurrences.end(), [](const Occurrence &it) { return !it.begun(); });
+  for (; occurrences.size() < due && unbegun < Options.MaxUnbegunOccurrences &&
+         makeStateRoom(work.Spec, work.Record);
+       ++unbegun) {
     Occurrence &added = occurrences.emplace_back();
     for (const StepSpec &it : work.Spec.Steps) {
       StepRecord &step = added.Steps.emplace_back();
@@ -54,18 +77,28 @@
 std::vector<PodPlanner::Unit> PodPlanner::collectWaiting(MonoTime now,
                                                          std::int64_t wallMs) {
   for (auto &[id, work] : Works)
-    if (!ended(work.Record.Phase))
+    if (!ended(work.Record.Phase)) {
+      work.InRound = {};
+      passDoneOccurrences(work);
       addDueOccurrences(work, wallMs, now);
-  updateUrgentDemand();
+    }
+  updateUrgentDemand(wallMs);
   updateSpeedUse(now);
   std::vector<Unit> units;
   for (auto &[id, work] : Works) {
     if (ended(work.Record.Phase))
       continue;
-    for (std::uint32_t k = 0; k < work.Record.Occurrences.size(); ++k)
-      for (std::uint32_t s = 0; s < work.Record.Occurrences[k].Steps.size();
-           ++s)
-        collectStep(id, work, k, s, now, wallMs, units);
+    const auto &occurrences = work.Record.Occurrences;
+    // An earlier build may have stored more that have not begun.
+    std::uint32_t unbegun = 0;
+    for (std::size_t k = work.FirstOpen; k < occurrences.size(); ++k) {
+      if (work.Spec.Repetitions > 0 && !occurrences[k].begun() &&
+          ++unbegun > Options.MaxUnbegunOccurrences)
+        continue;
+      for (std::uint32_t s = 0; s < occurrences[k].Steps.size(); ++s)
+        collectStep(id, work, static_cast<std::uint32_t>(k), s, now, wallMs,
+                    units);
+    }
   }
   std::sort(units.begin(), units.end(), [](const Unit &lhs, const Unit &rhs) {
     return lhs.order() < rhs.order();
@@ -109,10 +142,23 @@
   out.push_back(std::move(unit));
 }
 
-void PodPlanner::limitToStateRoom(Unit &unit) const {
-  const WorkRecord &record = Works.at(unit.Work).Record;
+bool PodPlanner::anyPlaced(PlannedWork &work) const {
+  std::optional<bool> &known = work.InRound.AnyPlaced;
+  if (!known)
+    known = work.Record.anyPlaced();
+  return *known;
+}
+
+void PodPlanner::limitToStateRoom(Unit &unit) {
+  PlannedWork &work = Works.at(unit.Work);
+  const WorkRecord &record = work.Record;
+  std::optional<std::size_t> &most = work.InRound.FirstStarts;
   // The job has at most as many tasks as bytes.
-  if (unstartedBytes(record) <= MaxTasksTogether)
+  if (!most)
+    most = unstartedBytes(record) <= MaxTasksTogether
+               ? std::numeric_limits<std::size_t>::max()
+               : firstStartsWithinState(record);
+  if (*most >= unit.Indices.size())
     return;
   const auto &tasks =
       record.Occurrences[unit.Occurrence].Steps[unit.Step].Tasks;
@@ -121,13 +167,12 @@
       [&](std::uint32_t it) { return tasks[it].Run > 0; });
   const auto added =
       static_cast<std::size_t>(std::distance(firstNew, unit.Indices.end()));
-  const std::size_t most = firstStartsWithinState(record);
-  if (added <= most)
+  if (added <= *most)
     return;
   if (unit.Gang)
     unit.Indices.clear();
   else
-    unit.Indices.resize(unit.Indices.size() - (added - most));
+    unit.Indices.resize(unit.Indices.size() - (added - *most));
 }
 
 std::vector<PackingServer> PodPlanner::packingView(MonoTime now) const {
@@ -194,7 +239,7 @@
 PackingRequest PodPlanner::requestOf(const Unit &unit,
                                      const std::vector<PackingServer> &view,
                                      bool requireLocality) {
-  const PlannedWork &work = Works.at(unit.Work);
+  PlannedWork &work = Works.at(unit.Work);
   const StepSpec &spec = work.Spec.Steps[unit.Step];
   PackingRequest request;
   request.Service = work.Spec.Service;
@@ -220,9 +265,8 @@
   const std::uint32_t failures = failedAttempts(unit);
   const bool last =
       !work.Spec.LongRunning && failures + 1 >= work.Spec.MaxAttempts;
-  const Millis maxWait = work.Record.anyPlaced()
-                             ? Options.LastAttemptWait
-                             : Options.IdleJobLastAttemptWait;
+  const Millis maxWait = anyPlaced(work) ? Options.LastAttemptWait
+                                         : Options.IdleJobLastAttemptWait;
   const bool mayWait = unit.CollectedAt - since < maxWait;
   request.ExcludeRecentFailures = last;
   request.RequireRecentSuccess = last && failures > 0 && mayWait;
@@ -343,6 +387,10 @@
   for (const std::uint32_t it : unit.Indices)
     run = std::max(run, step.Tasks[it].Run);
   ++run;
+  if (auto &most = work.InRound.FirstStarts;
+      run == 1 && most && *most != std::numeric_limits<std::size_t>::max())
+    *most -= std::min(*most, at.size());
+  work.InRound.AnyPlaced = true;
   for (std::size_t n = 0; n < at.size(); ++n) {
     const std::uint32_t index = unit.Indices[n];
     ServerSlot &slot = *Servers.find(view[at[n]].Id);
@@ -388,6 +436,7 @@
   RoundOutcomes = {};
   EmptyOutcomes = {};
   RoundCandidates.clear();
+  RoundWithoutRoom.clear();
   if (now - SweptAt >= Options.SweepInterval) {
     SweptAt = now;
     stopStalledRuns(now);
@@ -420,7 +469,7 @@
     }
     noteSpeedWait(unit, now);
     if (unit.Rank <= UrgentRank) {
-      preempt(unit, view, now);
+      preemptOnce(unit, view, now);
     } else if (unit.Gang && reservations < Options.MaxGangReservations &&
                now - unit.WaitingSince >= Options.GangReserveDelay) {
       const PackingRequest local = requestOf(unit, view, true);
--- a/packages/workload/src/work_spec.cpp
+++ b/packages/workload/src/work_spec.cpp
@@ -8,6 +8,17 @@
 
 namespace citrongap {
 
+std::uint32_t WorkSpec::dueBy(std::int64_t wallMs) const {
+  if (Repetitions == 0)
+    return 1;
+  if (wallMs < FirstDueMs)
+    return 0;
+  if (IntervalMs == 0)
+    return Repetitions;
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(
+      Repetitions, (wallMs - FirstDueMs) / IntervalMs + 1));
+}
+
 namespace {
 
 void checkStep(const WorkSpec &spec, std::size_t at, Findings &findings) {
--- a/packages/workload/src/work_state.cpp
+++ b/packages/workload/src/work_state.cpp
@@ -64,6 +64,17 @@
                      [](const StepRecord &it) { return it.done(); });
 }
 
+bool Occurrence::begun() const {
+  if (Steps.empty())
+    return true;
+  return std::any_of(Steps.begin(), Steps.end(), [](const StepRecord &step) {
+    return std::any_of(step.Tasks.begin(), step.Tasks.end(),
+                       [](const TaskRecord &it) {
+                         return it.Run > 0 || it.Stage != TaskStage::Waiting;
+                       });
+  });
+}
+
 bool WorkRecord::anyPlaced() const {
   return std::any_of(
       Occurrences.begin(), Occurrences.end(), [](const Occurrence &it) {
