--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -27,14 +27,14 @@
 } // namespace
 
 const char *describe(FaultKind kind) {
-  static constexpr std::array<const char *, 20> Names{
+  static constexpr std::array<const char *, 21> Names{
       "vm killed",          "vm stopped",      "vm paused",
       "vm reloads",         "store busy",      "store silent",
       "store answers lost", "store slow",      "store reset",
       "store rebalances",   "store compacted", "server crashes",
       "server leaves",      "server cut",      "server answers lost",
       "server late",        "server reset",    "publish",
-      "owner killed",       "calls late"};
+      "owner killed",       "calls late",      "odd entry"};
   return Names.at(static_cast<std::size_t>(kind));
 }
 
@@ -92,6 +92,20 @@
   return out;
 }
 
+std::vector<PlannedFault> planOddEntries(std::uint64_t seed, std::size_t count,
+                                         MonoTime from, MonoTime until,
+                                         const SiteShape &shape) {
+  Random numbers(seed);
+  std::vector<PlannedFault> out;
+  const auto span = static_cast<std::uint64_t>((until - from).count());
+  for (std::size_t n = 0; n < count; ++n)
+    out.push_back(
+        {from + Millis(static_cast<std::int64_t>(numbers.between(0, span))),
+         FaultKind::OddEntry, numbers.between(0, shape.Servers - 1U), false,
+         Millis(0)});
+  return out;
+}
+
 void FaultRunner::schedule(const PlannedFault &fault) {
   Timers.push_back(Loop.at(fault.At, [this, fault] { begin(fault); }));
 }
@@ -105,7 +119,9 @@
   fmt::print("{} {} target {}{} for {} ms\n", toMillis(now),
              describe(fault.Kind), fault.Target,
              fault.Everywhere ? " (all)" : "", fault.Span.count());
-  if (fault.Kind != FaultKind::Publish)
+  const bool harmless =
+      fault.Kind == FaultKind::Publish || fault.Kind == FaultKind::OddEntry;
+  if (!harmless)
     Judging.disturbedUntil(now + fault.Span + AfterEffects);
   switch (fault.Kind) {
   case FaultKind::StoreRebalances:
@@ -121,6 +137,9 @@
     Extra = !Extra;
     Site.publish(Extra);
     return;
+  case FaultKind::OddEntry:
+    Site.putOddEntry(Site.servers().at(fault.Target), ++OddEntries);
+    return;
   default:
     break;
   }
--- a/testing/soak/src/fault_plan.h
+++ b/testing/soak/src/fault_plan.h
@@ -35,6 +35,8 @@
   // These are planned in series only.
   OwnerKilled,
   CallsLate,
+  // These are planned by planOddEntries() only.
+  OddEntry,
   Count
 };
 
@@ -60,6 +62,10 @@
 /// runs.
 std::vector<PlannedFault> planSeries(std::uint64_t seed, MonoTime from,
                                      MonoTime until, const SiteShape &shape);
+/// Entries of another writer that copy one of a server, without some fields.
+std::vector<PlannedFault> planOddEntries(std::uint64_t seed, std::size_t count,
+                                         MonoTime from, MonoTime until,
+                                         const SiteShape &shape);
 Millis seriesLength(const SiteShape &shape);
 
 /// Carries faults out and takes them away after their span.
@@ -85,6 +91,7 @@
   MemoryStoreView View;
   std::vector<Timer> Timers;
   bool Extra = true;
+  unsigned OddEntries = 0;
 };
 
 } // namespace citrongap::soak
--- a/testing/soak/src/soak_callers.cpp
+++ b/testing/soak/src/soak_callers.cpp
@@ -16,6 +16,8 @@
 constexpr Millis AskEvery{300};
 constexpr int MaxTries = 12;
 constexpr std::size_t IdDigits = 16;
+constexpr std::uint32_t DueOccurrences = 600;
+constexpr Millis ShortWork{100};
 constexpr unsigned CancelPercent = 8;
 constexpr unsigned FailPercent = 4;
 constexpr unsigned GangPercent = 40;
@@ -90,6 +92,25 @@
     later(Millis(Numbers.between(50, 2000)), [this, id] { cancel(id); });
 }
 
+void Callers::submitSeries() {
+  const WorkId id(Numbers.uniqueId().substr(0, IdDigits));
+  JobStory &job = Judging.story(id);
+  StepSpec step;
+  step.Count = 1;
+  step.Requested = {1000, 1000, 1};
+  job.Program.Work = ShortWork;
+  step.EstimateMs = job.Program.Work.count();
+  job.Spec.Priority = 1;
+  job.Spec.Payload = job.Program.str();
+  job.Spec.Steps.push_back(step);
+  job.Spec.Repetitions = DueOccurrences;
+  job.Spec.IntervalMs = ShortWork.count();
+  job.Spec.FirstDueMs =
+      toMillis(wallNow()) - job.Spec.IntervalMs * DueOccurrences;
+  ++Undecided;
+  submit(id, 1);
+}
+
 void Callers::submit(const WorkId &id, int tries) {
   SoakVm &vm = choose();
   HttpRequest out = request("POST", pathOf(id));
@@ -128,6 +149,13 @@
     Judging.add(monoNow(), fmt::format("answer: {} got {} from {}", id.str(),
                                        status, call.Vm));
   }
+  if (CancelsUndecided && job.MaybeStored > 0 && !job.AcceptedAt &&
+      tries % 2 == 1) {
+    --Undecided;
+    job.CancelSent = true;
+    sendCancel(id);
+    return;
+  }
   if (tries < MaxTries && Trying) {
     later(TryAgainAfter, [this, id, tries] { submit(id, tries + 1); });
     return;
@@ -159,6 +187,10 @@
   if (!job.AcceptedAt || job.Ended)
     return;
   job.CancelSent = true;
+  sendCancel(id);
+}
+
+void Callers::sendCancel(const WorkId &id) {
   SoakVm &vm = choose();
   const Call call{vm.Name, monoNow()};
   Http.call(vm.Callers, request("DELETE", pathOf(id)), call.SentAt + CallWithin,
@@ -169,10 +201,11 @@
               const auto *error = std::get_if<HttpError>(&result);
               const bool refused =
                   status == 503 || (error && *error == HttpError::NotSent);
-              if (status == 200)
+              const JobStory &job = Judging.story(id);
+              if (status == 200 || (status == 410 && !job.AcceptedAt))
                 Judging.story(id).CancelledAt = monoNow();
-              if (refused)
-                later(TryAgainAfter, [this, id] { cancel(id); });
+              if (refused && !job.Ended)
+                later(TryAgainAfter, [this, id] { sendCancel(id); });
             });
 }
 
--- a/testing/soak/src/soak_callers.h
+++ b/testing/soak/src/soak_callers.h
@@ -19,6 +19,10 @@
 
   /// Hands in one more job.
   void submitOne();
+  /// Hands in a job of many short occurrences, all of which are due.
+  void submitSeries();
+  /// From now on, some submissions of unknown fate are cancelled.
+  void cancelUndecided() { CancelsUndecided = true; }
   /// Asks the balancer's question of every entry VM.
   void probe();
   /// No new submissions are tried again.
@@ -44,6 +48,7 @@
                    const HttpResult &result);
   void ask(const WorkId &id);
   void cancel(const WorkId &id);
+  void sendCancel(const WorkId &id);
   /// A planned stop must not cut a request.
   void checkCut(const Call &call, const HttpResult &result);
   void later(Millis wait, std::function<void()> what);
@@ -55,6 +60,7 @@
   HttpClient Http;
   std::vector<Timer> Timers;
   bool Trying = true;
+  bool CancelsUndecided = false;
   std::size_t Accepted = 0;
   std::size_t Refused = 0;
   std::size_t Undecided = 0;
--- a/testing/soak/src/soak_main.cpp
+++ b/testing/soak/src/soak_main.cpp
@@ -29,6 +29,8 @@
 constexpr Millis SeriesLease{3000};
 /// Longer than a take-over and the leases that a successor counts on.
 constexpr Millis SeriesWork{9000};
+/// Jobs with many due occurrences, beside odd entries.
+constexpr int DueSeries = 3;
 
 struct Options {
   std::uint64_t Seed = 1;
@@ -37,6 +39,7 @@
   unsigned JobsPerSecond = 8;
   bool Keep = false;
   unsigned Series = 0;
+  std::size_t OddEntries = 0;
   SiteShape Shape;
 };
 
@@ -83,6 +86,14 @@
     for (const PlannedFault &it :
          planSeries(Given.Seed + 2, seriesFrom, until, Given.Shape))
       Faults.schedule(it);
+    if (Given.OddEntries > 0) {
+      Calling.cancelUndecided();
+      for (int n = 0; n < DueSeries; ++n)
+        Calling.submitSeries();
+    }
+    for (const PlannedFault &it : planOddEntries(
+             Given.Seed + 3, Given.OddEntries, from, until, Given.Shape))
+      Faults.schedule(it);
     const Timer submit = Loop.every(Millis(1000 / Given.JobsPerSecond),
                                     [this] { Calling.submitOne(); });
     Loop.runUntil(until);
@@ -140,6 +151,7 @@
   options.Length = Seconds(arguments["seconds"].as<std::int64_t>());
   options.JobsPerSecond = arguments["rate"].as<unsigned>();
   options.Shape.EntryVms = arguments["vms"].as<unsigned>();
+  options.OddEntries = arguments["odd-entries"].as<std::size_t>();
   options.Series = arguments["series"].as<unsigned>();
   if (options.Series > 0) {
     options.Shape.MaxLease = SeriesLease;
@@ -184,6 +196,11 @@
       "series of faults that outlast a lease, after the others, 12 s each; "
       "leases are then 3 s",
       cxxopts::value<unsigned>()->default_value("0"))(
+      "odd-entries",
+      "entries of another writer in the server list; beside these, some "
+      "undecided submissions are cancelled, and jobs with many due occurrences "
+      "come",
+      cxxopts::value<std::size_t>()->default_value("0"))(
       "servers", "backend servers",
       cxxopts::value<unsigned>()->default_value("12"))(
       "build", "build tree",
--- a/testing/soak/src/soak_site.cpp
+++ b/testing/soak/src/soak_site.cpp
@@ -3,7 +3,9 @@
 
 #include "citrongap/testing/loopback.h"
 #include "site_messages.h"
+#include "wire_json.h"
 
+#include <array>
 #include <csignal>
 #include <fmt/format.h>
 #include <fstream>
@@ -193,6 +195,16 @@
   put(server);
 }
 
+void SoakSite::putOddEntry(const SoakServer &server, unsigned n) {
+  static constexpr std::array<const char *, 8> Fields{
+      "machine",           "version", "slots",  "sequence",
+      "cold_remaining_ms", "born",    "labels", "zone"};
+  wire::Json entry = wire::Json::parse(wire::encodeServerEntry(server.Entry));
+  entry.erase(Fields.at(n % Fields.size()));
+  Store.put(TopicId(wire::ServersTopic),
+            {fmt::format("odd-{}", n), entry.dump()});
+}
+
 void SoakSite::publish(bool withExtra) {
   Published.InForce = Published.InForce.next();
   SiteConfiguration shown = Published;
--- a/testing/soak/src/soak_site.h
+++ b/testing/soak/src/soak_site.h
@@ -94,6 +94,9 @@
   // Backend servers.
   void crash(SoakServer &server, Millis away);
   void drain(SoakServer &server);
+  /// Adds a copy of the entry of the server under another key; `n` chooses the
+  /// field that is missing.
+  void putOddEntry(const SoakServer &server, unsigned n);
 
   // Operators.
   /// Publishes the next revision, with or without the queue "extra".
