--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -390,7 +390,8 @@
   void completeDoneWork(std::int64_t wallMs);
   void stopGang(const TaskName &member, const char *reason, LossCause cause);
 
-  // One round: pod_planner_round.cpp; preemption and reservations are in
+  // One round: pod_planner_round.cpp; what waits is collected in
+  // pod_planner_waiting.cpp, preemption and reservations are in
   // pod_planner_room.cpp.
   /// Passes over the occurrences that are done, and removes their steps.
   static void passDoneOccurrences(PlannedWork &work);
--- a/testing/soak/src/judge.cpp
+++ b/testing/soak/src/judge.cpp
@@ -131,8 +131,8 @@
     return;
   // A gang's end stands for all its members; single tasks end one by one.
   const bool gang = job.Spec.Steps.at(0).Gang;
-  const std::size_t wanted =
-      job.Spec.occurrences() * (gang ? 1U : job.Spec.Steps.at(0).Count);
+  const std::size_t each = gang ? 1 : job.Spec.Steps.at(0).Count;
+  const std::size_t wanted = each * job.Spec.occurrences();
   if (*phase == WorkPhase::Completed && job.Done.size() < wanted)
     add(now, fmt::format("false end: {} is shown as completed, {} of {} tasks "
                          "are done",
