--- a/packages/workload/src/series_load_test.cpp
+++ b/packages/workload/src/series_load_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr int ServerCount = 6;
-constexpr std::size_t Accelerators = 8 * ServerCount;
+constexpr std::size_t Accelerators = std::size_t{8} * ServerCount;
 constexpr std::uint32_t DueOccurrences = 5000;
 /// Processor time of a round on an entry VM with a quarter of a core whose
 /// rounds follow each other every 100 ms.
@@ -25,7 +25,7 @@
     WorkSpec spec = job(id, 1, 1, false, priority);
     spec.Steps[0].Requested = {1000, 1024, 1};
     spec.Repetitions = occurrences;
-    spec.FirstDueMs = WallMs - 3600 * 1000;
+    spec.FirstDueMs = WallMs - Millis(Seconds(3600)).count();
     spec.IntervalMs = 500;
     return spec;
   }
