A claim that is refused is not applied again

Found by reading the diff: an entry whose rivals were silent, and that was then refused for another reason, was applied and logged in each round.

--- a/packages/control/src/pod_controller_rivals.cpp
+++ b/packages/control/src/pod_controller_rivals.cpp
@@ -93,16 +93,24 @@
 }
 
 void PodController::reviewClaims() {
-  std::vector<KeyedRecord> settled;
+  const auto isSettled = [this](const Claim &claim) {
+    return std::all_of(
+        claim.Silent.begin(), claim.Silent.end(), [this](const auto &it) {
+          return it.second || EndedIncarnations.contains(it.first);
+        });
+  };
+  std::vector<std::pair<ServerIncarnation, KeyedRecord>> settled;
   for (const auto &[claimant, it] : Claims)
-    if (std::all_of(it.Silent.begin(), it.Silent.end(), [this](const auto &n) {
-          return n.second || EndedIncarnations.contains(n.first);
-        }))
-      settled.push_back(it.Record);
-  for (const KeyedRecord &it : settled) {
-    onServerRecord(it);
+    if (isSettled(it))
+      settled.emplace_back(claimant, it.Record);
+  for (const auto &[claimant, record] : settled) {
+    onServerRecord(record);
     // It was appended some time ago.
-    ReportedAfter.erase(BackendServerId(it.Key));
+    ReportedAfter.erase(claimant.Id);
+    // Refused for another reason, unless it has further rivals.
+    if (const auto it = Claims.find(claimant);
+        it != Claims.end() && isSettled(it->second))
+      Claims.erase(it);
   }
 }
 
