Steps that wait beside servers with room are logged by reason

The planner reviews waiting steps once a second: of those that have waited for 2 s and whose job has nothing placed, at most 16, the servers that have room for one task are counted by the reason for which they are passed over. The owner logs a step when its main reason changes (work event=idle) and counts the steps in citrongap_idle_steps. Decisions are unchanged.

Tests: idle_work.

--- a/packages/control/include/citrongap/control/control_metrics.h
+++ b/packages/control/include/citrongap/control/control_metrics.h
@@ -60,6 +60,9 @@
   std::uint64_t StoreLosses = 0;
   /// Of the pod's owner; 0 elsewhere.
   std::uint32_t QuarantinedServers = 0;
+  /// Waiting steps beside servers with room, by describe() of the main reason;
+  /// of the pod's owner, empty elsewhere.
+  std::map<std::string, std::uint64_t> IdleSteps;
   SpeedMetrics Speeds;
 
   std::string text() const;
--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -187,6 +187,8 @@
   /// Adds the speeds of a group of machines to records that are appended
   /// anyway, if they changed and fit into the same append.
   void recordSpeeds(std::vector<KeyedRecord> &records);
+  /// Logs and counts the work that waits beside servers with room.
+  void reportIdleWork();
   /// Steps down, since records of a round were not appended.
   void onUnrecorded();
   void sendStarts(const PlannedRound &round);
@@ -284,6 +286,10 @@
   bool ListStale = false;
   MonoTime TookOverAt;
   MonoTime NextUnlistedCheck;
+  /// Review of idle work that was last reported.
+  MonoTime IdleReportOf;
+  /// Main reason that was last logged for a step, by its first waiting task.
+  std::map<TaskName, PassedOver> IdleReasons;
   /// When the machines are next counted by speed for the metrics.
   MonoTime NextSpeedCount;
   Timer RoundTimer;
--- a/packages/control/src/control_metrics.cpp
+++ b/packages/control/src/control_metrics.cpp
@@ -65,6 +65,7 @@
   out += fmt::format("citrongap_take_overs_total {}\n", TakeOvers);
   out += fmt::format("citrongap_store_losses_total {}\n", StoreLosses);
   out += fmt::format("citrongap_servers_quarantined {}\n", QuarantinedServers);
+  counts("citrongap_idle_steps", "reason", IdleSteps);
   out += AnswerTime.text("citrongap_answer_ms", "");
   for (const auto &[rank, times] : StartWait)
     out +=
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -4,6 +4,7 @@
 #include "citrongap/workload/state_room.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace citrongap {
@@ -177,6 +178,8 @@
   DroppedLinks.clear();
   UnreadEnds.clear();
   Metrics.Speeds.Machines.clear();
+  Metrics.IdleSteps.clear();
+  IdleReasons.clear();
   // Callbacks of the appender and the links may be on the stack.
   RoundTimer = Loop.at(monoNow(), [this] { runRound(); });
   if (Appender) {
@@ -280,6 +283,7 @@
   }
   round.Stops.clear();
   reportSpeeds();
+  reportIdleWork();
   Metrics.Losses = Planner->losses();
   Metrics.QuarantinedServers = Planner->quarantinedServers();
   recordRound(std::move(round));
@@ -361,6 +365,30 @@
   scheduleRound();
 }
 
+void PodController::reportIdleWork() {
+  if (Planner->idleReviewedAt() ==
+      std::exchange(IdleReportOf, Planner->idleReviewedAt()))
+    return;
+  Metrics.IdleSteps.clear();
+  std::map<TaskName, PassedOver> reasons;
+  for (const IdleStep &it : Planner->idleSteps()) {
+    const PassedOver reason = *it.mainReason();
+    ++Metrics.IdleSteps[describe(reason)];
+    reasons[it.Task] = reason;
+    const auto known = IdleReasons.find(it.Task);
+    if (known != IdleReasons.end() && known->second == reason)
+      continue;
+    std::string servers;
+    for (std::size_t n = 0; n < PassedOverReasons; ++n)
+      if (it.Servers[n] > 0)
+        servers += fmt::format(" {}={}", describe(static_cast<PassedOver>(n)),
+                               it.Servers[n]);
+    Log("work", "idle", "task={} waited_ms={} reason={}{}", it.Task.str(),
+        it.Waited.count(), describe(reason), servers);
+  }
+  IdleReasons = std::move(reasons);
+}
+
 void PodController::sendStarts(const PlannedRound &round) {
   for (const StartOrder &it : round.Starts) {
     if (!Planner->isCurrentRun(it.Task, it.Run, it.Server))
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -7,6 +7,7 @@
 
 #include "citrongap/policy/run_time_estimator.h"
 #include "citrongap/policy/server_health.h"
+#include "citrongap/workload/idle_work.h"
 #include "citrongap/workload/room_making.h"
 #include "citrongap/workload/server_speed.h"
 #include "citrongap/workload/server_table.h"
@@ -178,6 +179,11 @@
   std::uint32_t MaxUnbegunOccurrences = 64;
   /// Interval in which the speeds are computed from new samples.
   Millis SpeedUpdateInterval{1000};
+  /// Steps that have waited this long beside servers with room are reported, in
+  /// this interval and at most this many.
+  Millis MinIdleTime{2000};
+  Millis IdleReviewInterval{1000};
+  std::size_t MaxIdleSteps = 16;
 };
 
 /// A job in the planner; `Record` is the state to be written to the store.
@@ -300,6 +306,10 @@
   const ServerTable &servers() const { return Servers; }
   /// Work lost since this planner was created.
   const LostWork &losses() const { return Losses; }
+  /// Steps that wait although servers have room for them, as of the latest
+  /// review; only of jobs of which nothing is placed.
+  const std::vector<IdleStep> &idleSteps() const { return IdleSteps; }
+  MonoTime idleReviewedAt() const { return IdleReviewedAt; }
   std::uint32_t quarantinedServers() const { return Health.quarantinedCount(); }
   /// Removes ended jobs that have no placed run and no unread change; returns
   /// their ids.
@@ -508,6 +518,12 @@
   /// Expected ends of the runs on each server; computed again once older than
   /// `ReleasesMaxAge`.
   const Releases &expectedReleases(MonoTime now);
+  // Idle work: pod_planner_idle.cpp.
+  /// Updates `IdleSteps` if it is due.
+  void reviewIdleWork(const std::vector<Unit> &units,
+                      const std::vector<PackingServer> &view, MonoTime now);
+  IdleStep reviewIdleStep(const Unit &unit,
+                          const std::vector<PackingServer> &view, MonoTime now);
   void stopStalledRuns(MonoTime now);
   bool isStalled(const TaskRecord &task, const StepSpec &spec,
                  MonoTime now) const;
@@ -568,6 +584,8 @@
     MonoTime Until;
   };
   std::map<StepName, SpeedWait> SpeedWaits;
+  std::vector<IdleStep> IdleSteps;
+  MonoTime IdleReviewedAt;
   Releases ExpectedReleases;
   MonoTime ReleasesComputedAt;
   std::set<WorkId> Changed;
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -325,6 +325,7 @@
       }
     }
   }
+  reviewIdleWork(units, view, now);
   round.Stops = std::exchange(PendingStops, {});
   return round;
 }
