Idle jobs of a quiet service take room that is kept for other work

Cause: servers are kept for waiting gangs and for urgent work without a bound on how long that keeps other jobs from running. Where few servers can run a job, as with a label, one gang that waits for the last of them keeps all of them idle. The class is unbounded deference: work waits for the good of other work without looking at its own bound. The same held for servers reserved for urgent work (up to 6 s) and for the data rack or the single rack of a gang (up to 30 s).

Change: a job of which nothing is placed, on a service that has been under half used for 1.5 s, and lasting work at any time, take any room after 1.5 s: also what is kept for gangs or reserved, and away from their data if there is room for them twice. It is for one task or gang: once something of the job runs, the other tasks wait as before. On a busy service gangs keep their room as before. The wait counts from when the service became quiet, since servers that empty for a gang make it look quiet (many_concurrent_gangs_wait_no_longer_than_the_ running_tasks failed without).

The case server_kept_for_a_gang_is_reported now has a busy service, as on a quiet one the job starts; it holds on both codes.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -114,10 +114,11 @@
   /// that a remote run would take and withhold from other work.
   Millis MaxLocalityWait{30000};
   Millis MinLocalityWait{1000};
-  /// Work that lasts has no run time to lose elsewhere, only a slower start.
-  /// Half of the 3 s that the platform allows it to be away while there is
-  /// room.
-  Millis LastingLocalityWait{1500};
+  /// Work that lasts, and a job without placed runs while its service is under
+  /// half used, waits at most this long for a better placement, or for room
+  /// that is kept for other work. Half of the 3 s that the platform allows them
+  /// to stand still while there is room.
+  Millis MaxIdleTime{1500};
   /// Waiting time after which servers are reserved for a gang.
   Millis GangReserveDelay{300};
   /// Longest duration of a stop; the platform's bound.
@@ -436,6 +437,19 @@
              PlannedRound &round);
   /// Time for which the unit waits for its data rack or a single rack.
   Millis localityWait(const Unit &unit) const;
+  // Idle work: pod_planner_idle.cpp.
+  /// Notes which services have under half of their capacity in use.
+  void updateQuietServices(MonoTime now);
+  /// Whether the unit must take any room that there is; see `MaxIdleTime`.
+  bool isOverdue(const Unit &unit, MonoTime now);
+  /// Packs the request of an overdue unit, also into room that is kept for
+  /// gangs or reserved for urgent work.
+  std::optional<std::vector<std::size_t>>
+  packOverdue(std::vector<PackingServer> &view, PackingRequest request);
+  /// The same away from the data, if there is room for twice the request:
+  /// otherwise, waiting for the data may be the sooner end.
+  std::optional<std::vector<std::size_t>>
+  packOverdueFar(std::vector<PackingServer> &view, PackingRequest request);
   // Pace of the runs: pod_planner_pace.cpp.
   /// A run reports its progress, 100 when it has ended as done.
   void measurePace(const TaskName &task, TaskRecord &record, int percent,
@@ -518,7 +532,6 @@
   /// Expected ends of the runs on each server; computed again once older than
   /// `ReleasesMaxAge`.
   const Releases &expectedReleases(MonoTime now);
-  // Idle work: pod_planner_idle.cpp.
   /// Updates `IdleSteps` if it is due.
   void reviewIdleWork(const std::vector<Unit> &units,
                       const std::vector<PackingServer> &view, MonoTime now);
@@ -560,6 +573,8 @@
   /// would fit if all servers were empty.
   PackingOutcomes RoundOutcomes;
   PackingOutcomes EmptyOutcomes;
+  /// The same: requests of overdue units that did not fit.
+  PackingOutcomes OverdueOutcomes;
   /// The same: what units of a rank may preempt, until something is preempted.
   std::map<std::uint32_t, std::vector<PreemptionCandidate>> RoundCandidates;
   /// The same: steps of which an occurrence that has not begun found no room by
@@ -584,6 +599,9 @@
     MonoTime Until;
   };
   std::map<StepName, SpeedWait> SpeedWaits;
+  /// Services of which under half of the capacity has been in use, and since
+  /// when.
+  std::map<std::string, MonoTime> QuietSince;
   std::vector<IdleStep> IdleSteps;
   MonoTime IdleReviewedAt;
   Releases ExpectedReleases;
--- a/packages/workload/include/citrongap/workload/vector_packing.h
+++ b/packages/workload/include/citrongap/workload/vector_packing.h
@@ -43,6 +43,9 @@
   /// A run completed or made progress here recently, and none failed since.
   bool SucceededRecently = false;
   AccessLevel ReservedFor = AccessLevel::Any;
+  /// Kept for waiting gangs. Not part of `Free`, which is negative where a gang
+  /// waits for the end of runs.
+  Resources Kept{};
   /// Relative to the median machine. Empty if it is unknown, or while speeds
   /// are not used.
   std::optional<double> Speed = std::nullopt;
@@ -107,6 +110,10 @@
 void allocate(std::vector<PackingServer> &servers,
               const std::vector<std::size_t> &at, const Resources &each);
 
+/// The same for a gang that waits, which adds them to `Kept`.
+void keep(std::vector<PackingServer> &servers,
+          const std::vector<std::size_t> &at, const Resources &each);
+
 /// Whether the request's constraints admit this server; ignores free resources.
 bool isEligible(const PackingServer &server, const PackingRequest &request);
 
--- a/packages/workload/src/idle_job_mix.cpp
+++ b/packages/workload/src/idle_job_mix.cpp
@@ -33,7 +33,7 @@
     if (n % LabelledShare == 0)
       entry.Labels.emplace_back("rare");
     entry.Capacity = {128000, 512000, 8};
-    Servers.push_back({entry, MonoTime(), std::nullopt});
+    Servers.push_back({entry, MonoTime(), std::nullopt, entry.Capacity});
     Planner.putServer(entry, Now);
   }
   Planner.setGuarantees({{ClientAccountId("quetta"), servers * 2}});
@@ -194,19 +194,22 @@
   return std::nullopt;
 }
 
-Resources IdleJobMix::freeOn(const Server &server) const {
-  Resources free = server.Entry.Capacity;
+void IdleJobMix::updateFree() {
+  std::map<ServerIncarnation, Resources> used;
   for (const auto &[task, run] : Runs)
-    if (run.Order.Server == server.Entry.Incarnation)
-      free -= Planner.find(task.Work)->Spec.Steps[task.Step].allocation();
-  return free;
+    used[run.Order.Server] +=
+        Planner.find(task.Work)->Spec.Steps[task.Step].allocation();
+  for (Server &it : Servers) {
+    it.Free = it.Entry.Capacity;
+    it.Free -= used[it.Entry.Incarnation];
+  }
 }
 
 bool IdleJobMix::underHalfInUse() const {
   Resources free;
   Resources all;
   for (const Server &it : Servers) {
-    free += freeOn(it);
+    free += it.Free;
     all += it.Entry.Capacity;
   }
   return free.GpuCount * 2 > all.GpuCount && free.CpuMillis * 2 > all.CpuMillis;
@@ -222,7 +225,7 @@
         std::find(labels.begin(), labels.end(), spec.RequiredLabel) ==
             labels.end())
       continue;
-    Resources free = freeOn(it);
+    Resources free = it.Free;
     for (std::uint32_t here = 0;
          spec.allocation().fitsIn(free) &&
          (!spec.MaxPerServer || here < spec.MaxPerServer);
@@ -233,6 +236,7 @@
 }
 
 void IdleJobMix::judge(std::vector<std::string> &broken) {
+  updateFree();
   const bool quiet = underHalfInUse();
   for (const auto &[id, length] : Lengths) {
     const auto step = quiet ? idleStep(id) : std::nullopt;
--- a/packages/workload/src/idle_job_mix.h
+++ b/packages/workload/src/idle_job_mix.h
@@ -42,6 +42,8 @@
     ServerEntry Entry;
     MonoTime FaultyUntil;
     std::optional<MonoTime> ReturnsAt;
+    /// Not held by a run, as of the latest judgement.
+    Resources Free{};
   };
 
   std::int64_t draw(std::int64_t from, std::int64_t to);
@@ -59,7 +61,7 @@
   bool underHalfInUse() const;
   /// Whether the free room of sound servers holds the step twice.
   bool hasRoomTwice(const TaskName &step) const;
-  Resources freeOn(const Server &server) const;
+  void updateFree();
 
   std::mt19937_64 Random;
   MixShape Shape;
--- a/packages/workload/src/idle_work_test.cpp
+++ b/packages/workload/src/idle_work_test.cpp
@@ -27,10 +27,12 @@
 BOOST_FIXTURE_TEST_SUITE(idle_work, Fixture)
 
 BOOST_AUTO_TEST_CASE(server_kept_for_a_gang_is_reported) {
-  addServers(2);
-  submit(job("busy", 1, 8, false));
+  addServers(3);
+  WorkSpec busy = job("busy", 2, 8, false);
+  busy.Steps[0].Requested.CpuMillis = 100000;
+  submit(busy);
   confirm(plan());
-  submit(job("gang", 2, 8, true));
+  submit(job("gang", 3, 8, true));
   // The gang keeps the free server from then on.
   pass(Millis(500));
   submit(job("small", 1, 1, false, 2));
--- a/packages/workload/src/locality_wait_test.cpp
+++ b/packages/workload/src/locality_wait_test.cpp
@@ -46,4 +46,23 @@
   BOOST_TEST(waitAfterLoss(false).count() >= Millis(20000).count());
 }
 
+// Guards against a job of which nothing runs for 3 s beside many free servers,
+// while it waits for its data rack.
+BOOST_AUTO_TEST_CASE(idle_job_starts_elsewhere_on_a_quiet_service) {
+  addServers(8);
+  WorkSpec busy = job("a", 2, 8, false, 0);
+  busy.Steps[0].DataRack = RackId("r0");
+  submit(busy);
+  WorkSpec spec = job("b", 2, 8, true);
+  spec.Steps[0].EstimateMs = 20000;
+  spec.Steps[0].DataRack = RackId("r0");
+  submit(spec);
+  confirm(plan());
+  BOOST_TEST(planAfter(Millis(1000)).Starts.empty());
+  Millis waited(1000);
+  while (waited < LongestAbsence && planAfter(Millis(100)).Starts.empty())
+    waited += Millis(100);
+  BOOST_TEST(waited.count() < LongestAbsence.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/workload/src/pod_planner_idle.cpp
+++ b/packages/workload/src/pod_planner_idle.cpp
@@ -1,8 +1,11 @@
-// Review of the work that waits although servers have room for it.
+// Work that waits although servers have room for it: how long it may, and a
+// review of what keeps it.
 #include "pod_planner_unit.h"
 
 #include <algorithm>
 #include <map>
+#include <string_view>
+#include <utility>
 
 namespace citrongap {
 
@@ -35,6 +38,69 @@
   return static_cast<PassedOver>(most - Servers.begin());
 }
 
+void PodPlanner::updateQuietServices(MonoTime now) {
+  struct Room {
+    Resources Free;
+    Resources All;
+  };
+  std::map<std::string_view, Room> rooms;
+  for (const auto &[id, slot] : Servers.all())
+    if (slot.Reachable && slot.Listed) {
+      Room &room = rooms[slot.Entry.Service];
+      room.Free += slot.Free;
+      room.All += slot.Entry.Capacity;
+    }
+  std::map<std::string, MonoTime> quiet;
+  for (const auto &[service, room] : rooms) {
+    if (2 * room.Free.GpuCount <= room.All.GpuCount &&
+        2 * coresOf(room.Free) <= coresOf(room.All))
+      continue;
+    const std::string name(service);
+    const auto known = QuietSince.find(name);
+    quiet[name] = known == QuietSince.end() ? now : known->second;
+  }
+  QuietSince = std::move(quiet);
+}
+
+bool PodPlanner::isOverdue(const Unit &unit, MonoTime now) {
+  PlannedWork &work = Works.at(unit.Work);
+  MonoTime since = unit.WaitingSince;
+  if (!work.Spec.LongRunning) {
+    const auto quiet = QuietSince.find(work.Spec.Service);
+    if (quiet == QuietSince.end() || anyPlaced(work))
+      return false;
+    since = std::max(since, quiet->second);
+  }
+  return now - since >= Options.MaxIdleTime;
+}
+
+std::optional<std::vector<std::size_t>>
+PodPlanner::packOverdue(std::vector<PackingServer> &view,
+                        PackingRequest request) {
+  request.Access = AccessLevel::Urgent;
+  if (OverdueOutcomes.find(request) == false)
+    return std::nullopt;
+  for (PackingServer &it : view)
+    it.Free += it.Kept;
+  auto found = packTasks(view, request);
+  for (PackingServer &it : view)
+    it.Free -= it.Kept;
+  if (!found)
+    OverdueOutcomes.add(request, false);
+  return found;
+}
+
+std::optional<std::vector<std::size_t>>
+PodPlanner::packOverdueFar(std::vector<PackingServer> &view,
+                           PackingRequest request) {
+  const std::uint32_t count = request.Count;
+  request.Count = 2 * count;
+  auto found = packOverdue(view, std::move(request));
+  if (found)
+    found->resize(count);
+  return found;
+}
+
 IdleStep PodPlanner::reviewIdleStep(const Unit &unit,
                                     const std::vector<PackingServer> &view,
                                     MonoTime now) {
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -117,8 +117,9 @@
 
 Millis PodPlanner::localityWait(const Unit &unit) const {
   const PlannedWork &work = Works.at(unit.Work);
+  // Work that lasts has no run time to lose elsewhere, only a slower start.
   if (work.Spec.LongRunning)
-    return Options.LastingLocalityWait;
+    return Options.MaxIdleTime;
   const Millis expected = expectedRunTime(work, work.Spec.Steps[unit.Step]);
   const auto breakEven = Millis(static_cast<std::int64_t>(
       static_cast<double>(expected.count()) * (Options.RemoteSlowdown - 1)));
@@ -131,11 +132,18 @@
   const PackingRequest local = requestOf(unit, view, true);
   const bool hasLocality = local.OneRack || !local.Rack.empty();
   auto found = tryPackBySpeed(unit, view, local);
+  const bool overdue = !found && isOverdue(unit, now);
+  if (overdue)
+    found = packOverdue(view, local);
   const bool isLocal = found.has_value();
-  if (!found && hasLocality &&
-      (now - unit.WaitingSince >= localityWait(unit) ||
-       !wouldFitEmpty(view, local)))
-    found = tryPackBySpeed(unit, view, requestOf(unit, view, false));
+  if (!found && hasLocality) {
+    const PackingRequest anywhere = requestOf(unit, view, false);
+    if (now - unit.WaitingSince >= localityWait(unit) ||
+        !wouldFitEmpty(view, local))
+      found = tryPackBySpeed(unit, view, anywhere);
+    if (!found && overdue)
+      found = packOverdueFar(view, anywhere);
+  }
   if (!found)
     return false;
   startAt(unit, *found, isLocal, view, now, round);
@@ -280,6 +288,8 @@
   completeDoneWork(wallMs);
   RoundOutcomes = {};
   EmptyOutcomes = {};
+  OverdueOutcomes = {};
+  updateQuietServices(now);
   RoundCandidates.clear();
   RoundWithoutRoom.clear();
   if (now - SweptAt >= Options.SweepInterval) {
@@ -320,7 +330,7 @@
       const PackingRequest local = requestOf(unit, view, true);
       if (const auto found =
               findEarliestFit(view, expectedReleases(now), local, now)) {
-        allocate(view, found->Servers, local.PerTask);
+        keep(view, found->Servers, local.PerTask);
         ++reservations;
       }
     }
--- a/packages/workload/src/reservation_test.cpp
+++ b/packages/workload/src/reservation_test.cpp
@@ -118,4 +118,85 @@
   BOOST_TEST(round.Starts[0].Task.Work.str() == "first");
 }
 
+namespace {
+
+/// The platform's bound on the time in which a job has nothing running while
+/// there is room for it.
+constexpr Millis LongestIdle{3000};
+
+/// Pod of eight servers, two of which have the label that a gang of two whole
+/// servers needs. One of these is occupied, so that the gang keeps the other.
+struct KeptServer : Fixture {
+  explicit KeptServer(int unlabelledInUse) {
+    addServers(8);
+    for (int n = 0; n < 8; ++n) {
+      ServerEntry entry = Planner.servers().find(incarnation(n).Id)->Entry;
+      entry.Labels.emplace_back(n < 2 ? "rare" : "usual");
+      Planner.putServer(entry, Now);
+    }
+    for (int n = 0; n < 1 + unlabelledInUse; ++n) {
+      WorkSpec busy = labelled("busy-" + std::to_string(n), 1, 8);
+      busy.Steps[0].RequiredLabel = n == 0 ? "rare" : "usual";
+      busy.Steps[0].Requested.CpuMillis = 100000;
+      submit(busy);
+    }
+    confirm(plan());
+    WorkSpec gang = labelled("gang", 2, 8);
+    gang.Steps[0].Gang = true;
+    submit(gang);
+    confirm(plan());
+    BOOST_TEST(planAfter(Millis(500)).Starts.empty());
+  }
+
+  static WorkSpec labelled(const std::string &id, std::uint32_t tasks,
+                           std::int64_t gpus) {
+    WorkSpec spec = job(id, tasks, gpus, false);
+    spec.Steps[0].RequiredLabel = "rare";
+    return spec;
+  }
+
+  /// Number of starts within the bound, by rounds of 100 ms.
+  std::size_t startsInTime() {
+    std::size_t starts = 0;
+    for (Millis waited(0); waited < LongestIdle; waited += Millis(100)) {
+      const PlannedRound round = planAfter(Millis(100));
+      confirm(round);
+      starts += round.Starts.size();
+    }
+    return starts;
+  }
+};
+
+struct QuietPod : KeptServer {
+  QuietPod() : KeptServer(0) {}
+};
+struct BusyPod : KeptServer {
+  BusyPod() : KeptServer(5) {}
+};
+
+} // namespace
+
+// Guards against a job of which nothing runs for 3 s beside free servers, which
+// are kept for a gang, on a service that is hardly used.
+BOOST_FIXTURE_TEST_CASE(idle_job_takes_kept_room_of_a_quiet_service, QuietPod) {
+  submit(labelled("small", 1, 1));
+  BOOST_TEST(startsInTime() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(kept_room_of_a_busy_service_is_left_to_the_gang,
+                        BusyPod) {
+  submit(labelled("small", 1, 1));
+  BOOST_TEST(startsInTime() == 0U);
+}
+
+// Guards against lasting work that is away for 3 s beside kept room; the bound
+// holds however full the service is.
+BOOST_FIXTURE_TEST_CASE(lasting_work_takes_kept_room_of_a_busy_service,
+                        BusyPod) {
+  WorkSpec lasting = labelled("lasting", 1, 1);
+  lasting.LongRunning = true;
+  submit(lasting);
+  BOOST_TEST(startsInTime() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/workload/src/vector_packing.cpp
+++ b/packages/workload/src/vector_packing.cpp
@@ -231,4 +231,11 @@
     servers[it].Free -= each;
 }
 
+void keep(std::vector<PackingServer> &servers,
+          const std::vector<std::size_t> &at, const Resources &each) {
+  allocate(servers, at, each);
+  for (const std::size_t it : at)
+    servers[it].Kept += each;
+}
+
 } // namespace citrongap
