Expected ends include runs that have started since they were computed

Cause: the gang fits its servers only with the end of each run on them, and the cached ends did not have the new run. Change: a start adds its expected end.

job_that_runs_takes_no_kept_room failed before (4 starts instead of 1).

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -532,6 +532,8 @@
   /// Expected ends of the runs on each server; computed again once older than
   /// `ReleasesMaxAge`.
   const Releases &expectedReleases(MonoTime now);
+  /// Adds the end of a run that starts now, if they have been computed.
+  void expectRelease(const TaskName &name, MonoTime now);
   /// Updates `IdleSteps` if it is due.
   void reviewIdleWork(const std::vector<Unit> &units,
                       const std::vector<PackingServer> &view, MonoTime now);
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -268,6 +268,7 @@
       Health.startProbe(slot.Entry.Incarnation.Id);
     const TaskName name{unit.Work, unit.Occurrence, unit.Step, index};
     Placed[task.Server].insert(name);
+    expectRelease(name, now);
     round.Starts.push_back({name, run, task.Server, work.Spec.Payload,
                             checkpoint, unit.Rank, now - task.WaitingSince,
                             local, unit.ExpectedLate,
--- a/packages/workload/src/pod_planner_times.cpp
+++ b/packages/workload/src/pod_planner_times.cpp
@@ -46,4 +46,18 @@
   return ExpectedReleases;
 }
 
+void PodPlanner::expectRelease(const TaskName &name, MonoTime now) {
+  const PlannedWork &work = Works.at(name.Work);
+  if (ExpectedReleases.empty() || work.Spec.LongRunning)
+    return;
+  const StepSpec &spec = specOf(name);
+  auto &ends = ExpectedReleases[findTask(name)->Server.Id];
+  const MonoTime end = now + expectedRunTime(work, spec);
+  ends.emplace(std::upper_bound(ends.begin(), ends.end(), end,
+                                [](MonoTime lhs, const auto &rhs) {
+                                  return lhs < rhs.first;
+                                }),
+               end, spec.allocation());
+}
+
 } // namespace citrongap
--- a/packages/workload/src/reservation_test.cpp
+++ b/packages/workload/src/reservation_test.cpp
@@ -183,6 +183,13 @@
   BOOST_TEST(startsInTime() == 1U);
 }
 
+// Guards against servers that lose their reservation with each start on them,
+// until the expected ends are computed again. One task of the job is enough.
+BOOST_FIXTURE_TEST_CASE(job_that_runs_takes_no_kept_room, QuietPod) {
+  submit(labelled("small", 4, 1));
+  BOOST_TEST(startsInTime() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(kept_room_of_a_busy_service_is_left_to_the_gang,
                         BusyPod) {
   submit(labelled("small", 1, 1));
