The idle time of a job counts from the end of its last run

A start that a server refuses restarted the wait of its task, so a job whose starts are refused again and again never reached the bound. And the tasks of a later step count as waiting since the job came, so that such a step left its data as soon as the step before it had ended.

Change: a run that was never confirmed does not restart the wait, and the bound counts from the last end of a confirmed run of the job.

refused_starts_do_not_prolong_the_wait and step_waits_for_its_rack_after_the_step_before_it failed before.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -193,6 +193,8 @@
   WorkRecord Record;
   /// Invariant: all occurrences before this one are done.
   std::size_t FirstOpen = 0;
+  /// When a run that had started last ended.
+  MonoTime LastRunAt{};
   /// Of the round in progress, computed when first needed.
   struct RoundSums {
     /// Tasks that may still be started for the first time.
--- a/packages/workload/src/locality_wait_test.cpp
+++ b/packages/workload/src/locality_wait_test.cpp
@@ -65,4 +65,27 @@
   BOOST_TEST(waited.count() < LongestAbsence.count());
 }
 
+// Guards against a second step that leaves its data at once, as if it had
+// waited while the first one ran.
+BOOST_AUTO_TEST_CASE(step_waits_for_its_rack_after_the_step_before_it) {
+  addServers(8);
+  WorkSpec busy = job("a", 2, 8, false, 0);
+  busy.Steps[0].DataRack = RackId("r0");
+  submit(busy);
+  WorkSpec spec = job("b", 1, 1, false);
+  spec.Steps[0].EstimateMs = 20000;
+  spec.Steps.push_back(spec.Steps[0]);
+  spec.Steps[1].DependsOn = {0};
+  spec.Steps[1].DataRack = RackId("r0");
+  submit(spec);
+  const PlannedRound round = plan();
+  BOOST_REQUIRE(round.Starts.size() == 3U);
+  confirm(round);
+  Now += Seconds(2);
+  end(round.Starts.back(), RunOutcome::Done);
+  BOOST_TEST(plan().Starts.empty());
+  BOOST_TEST(planAfter(Millis(1000)).Starts.empty());
+  BOOST_TEST(planAfter(Millis(1000)).Starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -145,7 +145,7 @@
   if (!hasStepsOf(spec, record))
     return;
   const auto [it, added] =
-      Works.try_emplace(spec.Id, PlannedWork{spec, std::move(record), 0, {}});
+      Works.try_emplace(spec.Id, PlannedWork{spec, std::move(record), 0, {}, {}});
   if (!added)
     return;
   PlannedWork &work = it->second;
@@ -306,10 +306,13 @@
   Placed[record.Server].erase(task);
   endProbe(record);
   record.Stage = record.EarlierRunDone ? TaskStage::Done : TaskStage::Waiting;
-  record.Confirmed = false;
+  // A start that was not carried out does not end the wait.
+  if (std::exchange(record.Confirmed, false)) {
+    record.WaitingSince = now;
+    Works.at(task.Work).LastRunAt = now;
+  }
   record.StopRequested = false;
   record.StopCause.reset();
-  record.WaitingSince = now;
   Changed.insert(task.Work);
   return loss;
 }
--- a/packages/workload/src/pod_planner_idle.cpp
+++ b/packages/workload/src/pod_planner_idle.cpp
@@ -69,7 +69,7 @@
     const auto quiet = QuietSince.find(work.Spec.Service);
     if (quiet == QuietSince.end() || anyPlaced(work))
       return false;
-    since = std::max(since, quiet->second);
+    since = std::max({since, quiet->second, work.LastRunAt});
   }
   return now - since >= Options.MaxIdleTime;
 }
--- a/packages/workload/src/reservation_test.cpp
+++ b/packages/workload/src/reservation_test.cpp
@@ -190,6 +190,29 @@
   BOOST_TEST(startsInTime() == 1U);
 }
 
+// Guards against a wait that begins anew with each start that a server refuses.
+BOOST_FIXTURE_TEST_CASE(refused_starts_do_not_prolong_the_wait, QuietPod) {
+  ServerEntry small = Planner.servers().find(incarnation(0).Id)->Entry;
+  small.Incarnation = incarnation(8);
+  small.Capacity = {16000, 64000, 1};
+  Planner.putServer(small, Now);
+  submit(labelled("small", 1, 1));
+  const auto startsOnKeptServer = [&] {
+    const PlannedRound round = planAfter(Millis(100));
+    for (const StartOrder &it : round.Starts) {
+      if (it.Server != small.Incarnation)
+        return true;
+      Planner.recordStartRefusal(it.Task, it.Run, it.Server,
+                                 StartRefusal::NoRoom, Now);
+    }
+    return false;
+  };
+  Millis waited(100);
+  while (waited < LongestIdle && !startsOnKeptServer())
+    waited += Millis(100);
+  BOOST_TEST(waited.count() < LongestIdle.count());
+}
+
 BOOST_FIXTURE_TEST_CASE(kept_room_of_a_busy_service_is_left_to_the_gang,
                         BusyPod) {
   submit(labelled("small", 1, 1));
