Lasting work may probe the only server that it can run on

Cause: each failed probe doubles the quarantine (5 s, 10 s, up to 320 s), and the server is out of reach for all work until the next one is due. The quarantine keeps work away from a server while others can take it; here no other can.

Ruled out: that the work is held back by its own failures (work that lasts has no limit of attempts).

Change: lasting work that only servers in quarantine could hold may be their probe 1.5 s after their last failure. Other work waits as before, since a failed probe takes one of its attempts.

lasting_work_probes_the_only_server_that_it_can_run_on failed before; other_work_waits_for_the_quarantine_to_end and lasting_work_probes_early_only_without_another_server hold before and after.

--- a/packages/policy/include/citrongap/policy/server_health.h
+++ b/packages/policy/include/citrongap/policy/server_health.h
@@ -70,6 +70,10 @@
   /// No work that is preferred as a probe has come: any may be it, or the
   /// server would be lost to the fleet.
   bool probeOverdue(const BackendServerId &server, MonoTime now) const;
+  /// The server is quarantined, no probe runs, and its last failure was this
+  /// long ago.
+  bool restedFor(const BackendServerId &server, Millis span,
+                 MonoTime now) const;
   void startProbe(const BackendServerId &server);
   /// Ends the quarantine without a probe. The next failure begins the next one,
   /// the next success forgets this one.
--- a/packages/policy/src/server_health.cpp
+++ b/packages/policy/src/server_health.cpp
@@ -184,6 +184,13 @@
   return probeDue(server, now - Options.ProbeOverdueAfter);
 }
 
+bool ServerHealth::restedFor(const BackendServerId &server, Millis span,
+                             MonoTime now) const {
+  const auto it = Records.find(server);
+  return it != Records.end() && it->second.Quarantined && !it->second.Probing &&
+         now - it->second.FailedAt >= span;
+}
+
 void ServerHealth::startProbe(const BackendServerId &server) {
   const auto it = Records.find(server);
   if (it != Records.end() && it->second.Quarantined)
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -527,6 +527,12 @@
   /// unit, even if all were empty.
   bool needsReservedServers(const Unit &unit,
                             const std::vector<PackingServer> &view);
+  /// Whether only servers in quarantine could hold a task of the unit.
+  bool needsQuarantinedServers(const Unit &unit,
+                               const std::vector<PackingServer> &view) const;
+  /// Whether the server could hold one more task of the unit if it were empty,
+  /// whatever its health and reservation.
+  bool couldHoldTask(const PackingServer &server, const Unit &unit) const;
   /// Share of the service's accelerators that priority 0 is expected to request
   /// within `ReserveHorizon`, from its recent arrivals.
   double expectedArrivalShare(std::string_view service, std::int64_t capacity,
--- a/packages/workload/include/citrongap/workload/vector_packing.h
+++ b/packages/workload/include/citrongap/workload/vector_packing.h
@@ -38,6 +38,9 @@
   bool ProbeOnly = false;
   /// The probe is overdue: it may be any one request, as a last resort.
   bool ProbeOverdue = false;
+  /// The probe is not due: it may only be work that lasts and can run on
+  /// servers in quarantine only.
+  bool ProbeEarly = false;
   /// The last run to end here failed, and recently; used as a last resort.
   bool FailedRecently = false;
   /// A run completed or made progress here recently, and none failed since.
@@ -69,6 +72,8 @@
   bool ExcludeRecentFailures = false;
   /// Accepts only servers with a recent success or progress.
   bool RequireRecentSuccess = false;
+  /// Accepts servers whose probe is not due.
+  bool ProbesEarly = false;
   SpeedRange Speeds;
   /// Servers on which a task ran last; used as a last resort.
   std::set<BackendServerId> AvoidServers;
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -144,8 +144,8 @@
                          Millis age) {
   if (!hasStepsOf(spec, record))
     return;
-  const auto [it, added] =
-      Works.try_emplace(spec.Id, PlannedWork{spec, std::move(record), 0, {}, {}});
+  const auto [it, added] = Works.try_emplace(
+      spec.Id, PlannedWork{spec, std::move(record), 0, {}, {}});
   if (!added)
     return;
   PlannedWork &work = it->second;
--- a/packages/workload/src/pod_planner_room.cpp
+++ b/packages/workload/src/pod_planner_room.cpp
@@ -129,7 +129,8 @@
                                   MonoTime now) const {
   std::map<std::string_view, std::vector<std::size_t>> services;
   for (std::size_t at = 0; at < view.size(); ++at)
-    services[*view[at].Service].push_back(at);
+    if (!view[at].ProbeEarly)
+      services[*view[at].Service].push_back(at);
   for (const auto &[service, servers] : services)
     reserveForUrgent(view, service, servers, now);
 }
@@ -189,16 +190,29 @@
     request.Speeds = {};
     return !wouldFitEmpty(view, request);
   }
-  const PlannedWork &work = Works.at(unit.Work);
-  const StepSpec &spec = work.Spec.Steps[unit.Step];
-  const Resources each = spec.allocation();
   return std::none_of(view.begin(), view.end(), [&](const PackingServer &it) {
-    return it.ReservedFor <= unit.Access && *it.Service == work.Spec.Service &&
-           hasLabel(it, spec.RequiredLabel) && each.fitsIn(it.Capacity) &&
-           (!spec.MaxPerServer || it.TasksOfStep < spec.MaxPerServer);
+    return it.ReservedFor <= unit.Access && !it.ProbeEarly &&
+           couldHoldTask(it, unit);
+  });
+}
+
+bool PodPlanner::needsQuarantinedServers(
+    const Unit &unit, const std::vector<PackingServer> &view) const {
+  return std::none_of(view.begin(), view.end(), [&](const PackingServer &it) {
+    return !it.ProbeOnly && couldHoldTask(it, unit);
   });
 }
 
+bool PodPlanner::couldHoldTask(const PackingServer &server,
+                               const Unit &unit) const {
+  const PlannedWork &work = Works.at(unit.Work);
+  const StepSpec &spec = work.Spec.Steps[unit.Step];
+  return *server.Service == work.Spec.Service &&
+         hasLabel(server, spec.RequiredLabel) &&
+         spec.allocation().fitsIn(server.Capacity) &&
+         (!spec.MaxPerServer || server.TasksOfStep < spec.MaxPerServer);
+}
+
 double PodPlanner::expectedArrivalShare(std::string_view service,
                                         std::int64_t capacity,
                                         MonoTime now) const {
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -22,7 +22,8 @@
         now < slot.NoStartsBefore || Evacuated.contains(slot.Entry.DataCentre))
       continue;
     const bool quarantined = Health.quarantined(id);
-    if (quarantined && !Health.probeDue(id, now))
+    const bool early = quarantined && !Health.probeDue(id, now);
+    if (early && !Health.restedFor(id, Options.MaxIdleTime, now))
       continue;
     PackingServer it;
     it.Id = id;
@@ -32,6 +33,7 @@
     it.Capacity = slot.Entry.Capacity;
     it.Free = slot.Free;
     it.ProbeOnly = quarantined;
+    it.ProbeEarly = early;
     it.ProbeOverdue = quarantined && Health.probeOverdue(id, now);
     it.FailedRecently = Health.failedRecently(id, now);
     it.SucceededRecently = Health.succeededRecently(id, now);
@@ -92,6 +94,9 @@
   if (requireLocality)
     request.Rack = spec.DataRack;
   request.Access = unit.Access;
+  // Its attempts are not limited, so a failed probe costs it nothing but time.
+  request.ProbesEarly =
+      work.Spec.LongRunning && needsQuarantinedServers(unit, view);
   if (unit.WaitsForSpeed)
     request.Speeds.Min = unit.NeededSpeed;
   const auto &tasks =
--- a/packages/workload/src/quarantine_test.cpp
+++ b/packages/workload/src/quarantine_test.cpp
@@ -207,4 +207,51 @@
   BOOST_TEST(plan().Starts.empty());
 }
 
+// Guards against lasting work that stays away for the time of a doubled
+// quarantine, though the only server that it can run on is sound again.
+BOOST_AUTO_TEST_CASE(lasting_work_probes_the_only_server_that_it_can_run_on) {
+  addTwoServers();
+  quarantineFirst();
+  for (const char *id : {"a", "b"}) {
+    WorkSpec lasting = jobOnFirst(id, 1, 1, false);
+    lasting.LongRunning = true;
+    submit(lasting);
+  }
+  // Its probes fail, as long as the quarantines are doubled.
+  for (int n = 0; n < 4; ++n) {
+    PlannedRound probe = planAfter(PlannerOptions{}.MaxIdleTime);
+    BOOST_REQUIRE(probe.Starts.size() == 1U);
+    confirm(probe);
+    end(probe.Starts[0], RunOutcome::Failed);
+    BOOST_TEST(plan().Starts.empty());
+  }
+  const PlannedRound sound = planAfter(PlannerOptions{}.MaxIdleTime);
+  BOOST_REQUIRE(sound.Starts.size() == 1U);
+  const StartOrder &it = sound.Starts[0];
+  confirm(sound);
+  Now += Millis(2000);
+  Planner.recordProgress(it.Task, it.Run, it.Server, 100, Now);
+  BOOST_TEST(plan().Starts.size() == 1U);
+}
+
+// Its attempts are limited, and there is another server.
+BOOST_AUTO_TEST_CASE(other_work_waits_for_the_quarantine_to_end) {
+  addTwoServers();
+  quarantineFirst();
+  submit(jobOnFirst("a", 1, 1, false));
+  BOOST_TEST(planAfter(Due - Millis(100)).Starts.empty());
+  BOOST_TEST(planAfter(Millis(100)).Starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(lasting_work_probes_early_only_without_another_server) {
+  addTwoServers();
+  quarantineFirst();
+  WorkSpec lasting = job("a", 9, 1, false);
+  lasting.LongRunning = true;
+  submit(lasting);
+  confirm(plan());
+  for (Millis waited(0); waited < Due - Millis(100); waited += Millis(100))
+    BOOST_TEST(planAfter(Millis(100)).Starts.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/workload/src/vector_packing.cpp
+++ b/packages/workload/src/vector_packing.cpp
@@ -157,13 +157,15 @@
          (!other.OneRack || request.OneRack) &&
          other.Speeds.covers(request.Speeds) &&
          (!other.ExcludeRecentFailures || request.ExcludeRecentFailures) &&
-         (!other.RequireRecentSuccess || request.RequireRecentSuccess);
+         (!other.RequireRecentSuccess || request.RequireRecentSuccess) &&
+         (other.ProbesEarly || !request.ProbesEarly);
 }
 
 } // namespace
 
 bool isEligible(const PackingServer &server, const PackingRequest &request) {
   if (*server.Service != request.Service ||
+      (server.ProbeEarly && !request.ProbesEarly) ||
       (server.ProbeOnly && !server.ProbeOverdue &&
        probesOnlyIfOverdue(request)) ||
       (request.ExcludeRecentFailures && server.FailedRecently) ||
