Tests of a refused claim that was applied again

Reading it again shows more than lines in the log: a claim stays settled after its refusal, so

- each round erased the report time of its server.
When that server left, its departure was not recognised and its runs waited for their leases;
- once a report of the server was later than ReportTimeout and it had no runs, the claim ended it, although it answers: its silence was not asked for again.

One test each, of an entry of an earlier life that is refused after the server had not answered once.

--- a/packages/control/src/server_list_test.cpp
+++ b/packages/control/src/server_list_test.cpp
@@ -49,6 +49,19 @@
     BOOST_REQUIRE(Fleet.at("i-1").Running.size() == 1U);
     Fleet.at("i-1").Unreachable = true;
   }
+  /// "i-3" is the only server and has started at 5. An entry of its earlier
+  /// life was refused after the server had not answered once; it reports and
+  /// answers again.
+  void refuseClaimAgainstAnsweringServer() {
+    Store.put(Servers, {"i-1", std::nullopt});
+    list("i-3", "ready 5 m-3");
+    // No report for longer than ReportTimeout, so that the claim is heard.
+    runFor(Millis(150));
+    Fleet.at("i-3").Silent = true;
+    Store.put(Servers, {"i-3", "ready 3 m-3"});
+    list("i-3", "ready 5 m-3");
+    Fleet.at("i-3").Silent = false;
+  }
 };
 
 } // namespace
@@ -119,6 +132,28 @@
   BOOST_TEST(Fleet.at("i-9").Started.size() == 1U);
 }
 
+// It was applied in each round, and the owner forgot the server's reports.
+BOOST_AUTO_TEST_CASE(refused_claim_hides_no_departure) {
+  refuseClaimAgainstAnsweringServer();
+  BOOST_TEST(submit("vm-1") == "accepted");
+  runFor(Millis(60));
+  BOOST_REQUIRE(Fleet.at("i-3").Running.size() == 1U);
+  Store.put(Servers, {"i-2", "ready"});
+  list("i-3", "draining 5 m-3");
+  Store.put(Servers, {"i-3", std::nullopt});
+  Fleet.at("i-3").Unreachable = true;
+  runFor(Millis(300));
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
+// The same: it ended a server that answers, without asking again.
+BOOST_AUTO_TEST_CASE(refused_claim_ends_no_server_whose_report_is_late) {
+  refuseClaimAgainstAnsweringServer();
+  const Epoch token = Fleet.at("i-3").Token;
+  runFor(Millis(200));
+  BOOST_TEST((Fleet.at("i-3").Token == token));
+}
+
 // Guards against a server that is lost for good since its clock was set back
 // before it restarted.
 BOOST_AUTO_TEST_CASE(server_with_a_clock_set_back_is_used_again) {
