Scenarios start the entry VMs once the stand-ins answer

Seen: scenario_frozen_owner failed once before its faults began, "the first lists were not accepted: no answer"; the platform stand-in listened 1.4 s after the entry VMs.

Cause: the runner started all processes at once, and published when the entry VMs answered, which they do without a platform.

Change: the runner waits until the platform and each backend server answer a call, for 20 s at most, and then fails with an error that names the stand-in.

Ruled out: a longer publication. It would hide a VM that gives no answer to its own change, which the failed run with a platform 1.4 s late shows: the VM had the revision in force 86 ms before it reached the log itself. Not traced further.

--- a/testing/scenario/src/scenario/runner.cpp
+++ b/testing/scenario/src/scenario/runner.cpp
@@ -128,6 +128,8 @@
                                "--servers", path("servers.json"), "--history",
                                path("backends.jsonl")},
       path("backends.log"));
+  if (!awaitStandins())
+    return false;
   for (const auto &it : Where.relays()) {
     Relays.push_back(
         std::make_unique<testing::Relay>(Loop, it.Listen, it.Target));
@@ -143,6 +145,22 @@
   return Faults.empty();
 }
 
+bool Runner::awaitStandins() {
+  std::vector<Endpoint> awaited{Where.platform()};
+  for (const auto &it : Where.servers())
+    awaited.push_back(it.At);
+  const bool taken = await(StartPatience, [this, &awaited] {
+    // Any answer will do.
+    while (!awaited.empty() && std::holds_alternative<HttpResponse>(callNow(
+                                   awaited.back(), {"GET", "/", "", ""})))
+      awaited.pop_back();
+    return awaited.empty();
+  });
+  if (!taken)
+    fail("the stand-in at " + awaited.back().str() + " takes no calls in time");
+  return taken;
+}
+
 bool Runner::startNode(NodeRun &node) {
   const std::string name = node.About.Id.str();
   writeFile(path(name + ".ini"), Where.settings(node.About, Story));
--- a/testing/scenario/src/scenario/runner.h
+++ b/testing/scenario/src/scenario/runner.h
@@ -36,6 +36,8 @@
   struct NodeRun;
 
   bool startSite();
+  /// Entry VMs that start before the platform answers lose their first calls.
+  bool awaitStandins();
   bool startNode(NodeRun &node);
   std::string path(const std::string &file) const;
   bool publishFirst();
