Late orders, awaited leases and unplanned occurrences are logged and counted

Once a second, outside of rounds and also while the store is out, the owner reviews the orders of all links. Stops and starts without an outcome are logged once at an age of 2 s and once when they are over, at most 100 lines a review. A stop whose task counts as placed though no link waits for the end has a line of its own (stop_untracked). Servers whose leases must expire are logged when the wait begins, changes and ends. Four gauges; all is cleared with the ownership. Decisions are unchanged.

Ruled out: a scan of the planner's tasks, which knows no age of an order; the links know it, and the planner is asked only about runs that it has ordered to stop.

--- a/packages/control/include/citrongap/control/control_metrics.h
+++ b/packages/control/include/citrongap/control/control_metrics.h
@@ -42,6 +42,16 @@
   std::string text() const;
 };
 
+/// What the pod's owner waits for, as of its latest review; 0 elsewhere.
+struct WaitMetrics {
+  Millis OldestStopOrder{0};
+  Millis OldestUnconfirmedStart{0};
+  std::size_t ServersAwaitingLeases = 0;
+  std::size_t DueOccurrencesNotPlanned = 0;
+
+  std::string text() const;
+};
+
 struct ControlMetrics {
   /// Answers to callers by describe().
   std::map<std::string, std::uint64_t> Answers;
@@ -64,6 +74,7 @@
   /// of the pod's owner, empty elsewhere.
   std::map<std::string, std::uint64_t> IdleSteps;
   SpeedMetrics Speeds;
+  WaitMetrics Waits;
 
   std::string text() const;
 };
--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -5,6 +5,7 @@
 #define CITRONGAP_CONTROL_POD_CONTROLLER_H
 
 #include "citrongap/control/control_metrics.h"
+#include "citrongap/control/owner_waits.h"
 #include "citrongap/control/server_link.h"
 #include "citrongap/control/site_configuration.h"
 #include "citrongap/control/speed_records.h"
@@ -54,6 +55,10 @@
   /// Interval of records of speeds. All VMs together append 600 to 1,200
   /// records a second.
   Millis SpeedRecordInterval{1000};
+  /// Interval of the reviews of what the owner waits for, and the age from
+  /// which an order without an outcome is logged.
+  Millis WaitReviewInterval{1000};
+  Millis LateOrderAge{2000};
 };
 
 /// Parses an entry of the server list; entries with findings are ignored.
@@ -189,6 +194,11 @@
   void recordSpeeds(std::vector<KeyedRecord> &records);
   /// Logs and counts the work that waits beside servers with room.
   void reportIdleWork();
+  // For logs and metrics only: pod_controller_waits.cpp.
+  void reviewWaits();
+  /// Servers with placed runs that start elsewhere only after their leases.
+  std::map<ServerIncarnation, WaitReason> leaseWaits() const;
+  void clearWaits();
   /// Steps down, since records of a round were not appended.
   void onUnrecorded();
   void sendStarts(const PlannedRound &round);
@@ -290,11 +300,13 @@
   MonoTime IdleReportOf;
   /// Main reason that was last logged for a step, by its first waiting task.
   std::map<TaskName, PassedOver> IdleReasons;
+  OwnerWaits Waits;
   /// When the machines are next counted by speed for the metrics.
   MonoTime NextSpeedCount;
   Timer RoundTimer;
   Timer TickTimer;
   Timer CleanupTimer;
+  Timer WaitsTimer;
 };
 
 } // namespace citrongap
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -7,6 +7,7 @@
 
 #include "citrongap/base/event_log.h"
 #include "citrongap/control/fleet_port.h"
+#include "citrongap/control/order_review.h"
 #include "citrongap/net/event_loop.h"
 
 #include <algorithm>
@@ -149,6 +150,16 @@
   /// The run ends up to `number` are recorded and may be acknowledged.
   void setRecordedUpTo(std::uint64_t number);
   bool reachable() const { return FailedPolls < Options.MaxFailedPolls; }
+  // For logs and metrics only: server_link_waits.cpp.
+  /// Logs the orders that have become late since the last review.
+  void reviewOrders(OrderReview &review);
+  /// Logs that the late orders are over; the link is about to be dropped.
+  void noteOutcomes(const char *how);
+  /// The end of the run is awaited after a stop.
+  bool tracksStop(const RunId &run) const;
+  /// Until when the leases of its runs last, and whose they are, while the
+  /// server is unreachable.
+  std::optional<WaitReason> leaseWait() const;
 
 private:
   struct TrackedRun {
@@ -168,6 +179,11 @@
     bool StopRequested = false;
     bool StopInFlight = false;
     const char *StopReason = "";
+    MonoTime StartRequestedAt = monoNow();
+    MonoTime StopRequestedAt;
+    /// The order was logged as late, and its outcome was not.
+    bool StartLogged = false;
+    bool StopLogged = false;
     Timer RetryTimer;
 
     /// The start is certain not to have reached the server.
@@ -224,6 +240,19 @@
   std::optional<ServerClockMs> leaseUntil(MonoTime now) const;
   bool needsPoll() const;
   void schedulePoll(Millis wait);
+  // For logs and metrics only: server_link_waits.cpp.
+  /// Age of the latest answer; -1 ms before the first.
+  Millis answerAge(MonoTime now) const;
+  /// By then the start is carried out, or never, and its lease has ended.
+  MonoTime startSettledBy(const RunId &run) const;
+  WaitReason startWait(const RunId &run, const TrackedRun &tracked,
+                       bool listStale) const;
+  /// Logs the end of the wait if the start was logged as late.
+  void noteStartOutcome(const RunId &id, TrackedRun &tracked, const char *how);
+  /// The same, of start and stop: the run is no longer tracked.
+  void noteOutcome(const RunId &id, TrackedRun &tracked, const char *how);
+  /// Tracks the run no more, and logs its late orders as over.
+  void forgetRun(const RunId &run, const char *how);
 
   EventLoop &Loop;
   FleetPort &Fleet;
@@ -259,6 +288,8 @@
   };
   /// The server's clock in its latest answer; empty before the first one.
   std::optional<ClockReading> LastClock;
+  /// Latest answer with a reading of the clock, or to a stop.
+  std::optional<MonoTime> LastAnswerAt;
   /// No lease that this link has requested ends later than this.
   MonoTime OwnLeaseEnd;
   /// The same, of leases that calls of others begin: those of earlier owners,
--- a/packages/control/src/control_metrics.cpp
+++ b/packages/control/src/control_metrics.cpp
@@ -44,6 +44,15 @@
   return out;
 }
 
+std::string WaitMetrics::text() const {
+  return fmt::format("citrongap_oldest_stop_order_ms {}\n"
+                     "citrongap_oldest_unconfirmed_start_ms {}\n"
+                     "citrongap_servers_awaiting_leases {}\n"
+                     "citrongap_due_occurrences_not_planned {}\n",
+                     OldestStopOrder.count(), OldestUnconfirmedStart.count(),
+                     ServersAwaitingLeases, DueOccurrencesNotPlanned);
+}
+
 std::string ControlMetrics::text() const {
   std::string out;
   const auto counts = [&](const char *name, const char *label,
@@ -66,6 +75,7 @@
   out += fmt::format("citrongap_store_losses_total {}\n", StoreLosses);
   out += fmt::format("citrongap_servers_quarantined {}\n", QuarantinedServers);
   counts("citrongap_idle_steps", "reason", IdleSteps);
+  out += Waits.text();
   out += AnswerTime.text("citrongap_answer_ms", "");
   for (const auto &[rank, times] : StartWait)
     out +=
--- a/packages/control/src/control_metrics_test.cpp
+++ b/packages/control/src/control_metrics_test.cpp
@@ -56,3 +56,14 @@
   BOOST_TEST(
       has("citrongap_lost_core_seconds_total{cause=\"preemption\"} 0.0\n"));
 }
+
+BOOST_AUTO_TEST_CASE(waits_of_the_owner_are_shown) {
+  ControlMetrics metrics;
+  metrics.Waits = {Millis(2500), Millis(3500), 4, 5};
+  const std::string text = metrics.text();
+  for (const char *line : {"citrongap_oldest_stop_order_ms 2500\n",
+                           "citrongap_oldest_unconfirmed_start_ms 3500\n",
+                           "citrongap_servers_awaiting_leases 4\n",
+                           "citrongap_due_occurrences_not_planned 5\n"})
+    BOOST_TEST(text.find(line) != std::string::npos, line);
+}
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -76,6 +76,9 @@
   if (body.starts_with("tasks="))
     step.Count =
         static_cast<std::uint32_t>(std::stoul(body.substr(body.find('=') + 1)));
+  // So many occurrences, all due.
+  if (body.starts_with("due="))
+    spec.Repetitions = static_cast<std::uint32_t>(std::stoul(body.substr(4)));
   if (body.starts_with("label="))
     step.RequiredLabel = body.substr(body.find('=') + 1);
   spec.Steps.push_back(step);
@@ -132,6 +135,8 @@
       out.Controller.Planner.SpeedUpdateInterval = Millis(50);
       out.Controller.SpeedRecordInterval = Millis(20);
       out.Controller.OwnershipTimeout = Millis(150);
+      out.Controller.WaitReviewInterval = Millis(10);
+      out.Controller.LateOrderAge = Millis(200);
       out.Controller.ReportTimeout = site.ReportTimeout;
       out.Controller.MaxReadGap = site.MaxReadGap;
       out.Controller.MaxListAge = Millis(200);
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -69,7 +69,8 @@
           [this] {
             onServersRead();
             scheduleRound();
-          }) {
+          }),
+      Waits(log) {
   ServersReader.OnLoaded = [this](const std::set<std::string> &keys) {
     onServersLoaded(keys);
   };
@@ -144,6 +145,8 @@
   TickTimer = Loop.every(Options.TickInterval, [this] { runRound(); });
   CleanupTimer = Loop.every(Options.EndedJobCleanupInterval,
                             [this] { deleteEndedJobs(); });
+  WaitsTimer =
+      Loop.every(Options.WaitReviewInterval, [this] { reviewWaits(); });
   scheduleRound();
 }
 
@@ -156,6 +159,7 @@
   ReplayUpTo.reset();
   TickTimer.cancel();
   CleanupTimer.cancel();
+  clearWaits();
   ServersReader.stop();
   for (auto &[incarnation, link] : Links) {
     link->setActive(false);
@@ -278,6 +282,7 @@
   PlannedRound round = Planner->plan(monoNow(), toMillis(wallNow()));
   for (const StopOrder &it : round.Stops) {
     ++Metrics.StopsByReason[it.Reason];
+    Waits.noteStop(it, monoNow());
     if (const auto link = Links.find(it.Server); link != Links.end())
       link->second->stop(it);
   }
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -274,6 +274,7 @@
                                          Options.Link.MaxOrderDelay,
                                      std::move(late)});
     ++DroppedLinks[incarnation.Id];
+    link->second->noteOutcomes("server_gone");
     link->second->setActive(false);
     RetiredLinks.push_back(std::move(link->second));
     Links.erase(link);
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -83,7 +83,9 @@
     it.StartUncertain = true;
     LateStarts[run] = monoNow() + Options.MaxOrderDelay;
   }
-  it.StopRequested = true;
+  noteStartOutcome(run, it, "stop_ordered");
+  if (!std::exchange(it.StopRequested, true))
+    it.StopRequestedAt = monoNow();
   it.StopReason = order.Reason;
   if (it.startNeverSent()) {
     TrackedRuns.erase(found);
@@ -128,6 +130,7 @@
 void ServerLink::readClock(ServerClockMs clock) {
   // An answer that was late tells an earlier time than is known.
   const MonoTime now = monoNow();
+  LastAnswerAt = now;
   if (!LastClock || clock > earliestClock(now) ||
       now - LastClock->ReceivedAt > Options.MaxClockAge / 2)
     LastClock = {clock, now};
@@ -197,8 +200,10 @@
   const MonoTime now = monoNow();
   if (const auto *done = std::get_if<OrderAcknowledged>(&result)) {
     readClock(done->Clock);
-    if (known)
+    if (known) {
       found->second.StartConfirmedAt = now;
+      noteStartOutcome(id, found->second, "confirmed");
+    }
     Planner.recordStart(task, run, Incarnation, now);
     Log("order", "started", "task={} run={} server={} token={}", task.str(),
         run, Incarnation.Id.str(), Token.value());
@@ -218,15 +223,14 @@
       // refuse the run from then on, and the lists show its outcome.
       Planner.abandonStart(task, run, Incarnation);
     } else {
-      if (known)
-        TrackedRuns.erase(found);
+      forgetRun(id, "refused");
       Planner.recordStartRefusal(task, run, Incarnation, refused->Cause, now);
     }
     Notify.Changed();
   } else if (known && std::holds_alternative<OrderNotSent>(error) &&
              !found->second.StartUncertain &&
              ++found->second.UnsentStarts > 1) {
-    TrackedRuns.erase(found);
+    forgetRun(id, "not_sent");
     Planner.recordStartRefusal(task, run, Incarnation, StartRefusal::NoRoom,
                                now);
     Notify.Changed();
@@ -270,6 +274,7 @@
   const MonoTime now = monoNow();
   if (std::holds_alternative<OrderAcknowledged>(result)) {
     it.StopConfirmedAt = now;
+    LastAnswerAt = now;
     Log("order", "stopping", "task={} run={} server={} why=\"{}\"", task.str(),
         run, Incarnation.Id.str(), it.StopReason);
     // The end of the run completes the long poll. A run that is not on the
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -130,6 +130,9 @@
 
 void ServerLink::releaseSettledRuns() {
   const std::set<RunId> late = lateStarts();
+  for (auto &[run, it] : TrackedRuns)
+    if (!late.contains(run))
+      noteOutcome(run, it, "leases_lapsed");
   const std::size_t released = std::erase_if(
       TrackedRuns, [&](const auto &it) { return !late.contains(it.first); });
   if (released == 0)
@@ -191,7 +194,7 @@
   const auto [task, run] = id;
   Log("order", "start_returned", "task={} run={} server={}", task.str(), run,
       Incarnation.Id.str());
-  TrackedRuns.erase({task, run});
+  forgetRun({task, run}, "not_sent");
   Planner.recordStartRefusal(task, run, Incarnation, StartRefusal::NoRoom,
                              monoNow());
 }
@@ -214,8 +217,10 @@
   const auto found = TrackedRuns.find({run.Task, run.Run});
   if (found != TrackedRuns.end()) {
     found->second.Listed = true;
-    if (!found->second.StartConfirmedAt)
+    if (!found->second.StartConfirmedAt) {
       found->second.StartConfirmedAt = now;
+      noteStartOutcome(found->first, found->second, "confirmed");
+    }
     return;
   }
   if (!Planner.isCurrentRun(run.Task, run.Run, Incarnation))
@@ -224,7 +229,7 @@
 
 void ServerLink::applyRunEnd(const RunEndReport &end, MonoTime now) {
   ReceivedUpTo = end.Number;
-  TrackedRuns.erase({end.Task, end.Run});
+  forgetRun({end.Task, end.Run}, "ended");
   const bool replaced = Planner.wasReplaced(end.Task, end.Run);
   Notify.RunEnded(end.Outcome, replaced);
   const auto loss =
@@ -260,7 +265,7 @@
         "task={} run={} server={} lost_core_s={:.1f} cause={}", task.str(), run,
         Incarnation.Id.str(), loss ? loss->CoreSeconds : 0,
         loss ? describe(loss->Cause) : "none");
-    TrackedRuns.erase({task, run});
+    forgetRun({task, run}, "missing");
   }
   if (!missing.empty())
     Notify.Changed();
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -313,6 +313,9 @@
   /// review; only of jobs of which nothing is placed.
   const std::vector<IdleStep> &idleSteps() const { return IdleSteps; }
   MonoTime idleReviewedAt() const { return IdleReviewedAt; }
+  /// Occurrences of open jobs that are due and were not added; see
+  /// `MaxUnbegunOccurrences`.
+  std::size_t dueNotAdded(std::int64_t wallMs) const;
   std::uint32_t quarantinedServers() const { return Health.quarantinedCount(); }
   /// Removes ended jobs that have no placed run and no unread change; returns
   /// their ids.
--- a/packages/workload/src/pod_planner_waiting.cpp
+++ b/packages/workload/src/pod_planner_waiting.cpp
@@ -74,6 +74,17 @@
   }
 }
 
+std::size_t PodPlanner::dueNotAdded(std::int64_t wallMs) const {
+  std::size_t count = 0;
+  for (const auto &[id, work] : Works) {
+    const std::size_t due = work.Spec.dueBy(wallMs);
+    const std::size_t added = work.Record.Occurrences.size();
+    if (!ended(work.Record.Phase) && due > added)
+      count += due - added;
+  }
+  return count;
+}
+
 std::vector<PodPlanner::Unit> PodPlanner::collectWaiting(MonoTime now,
                                                          std::int64_t wallMs) {
   for (auto &[id, work] : Works)
