Idle jobs take kept room only beside room for them twice over

Cause: it let idle jobs into servers reserved for urgent work, and did not ask whether there is room to spare.

Change: it applies only where the free room holds the work twice, as the platform's rule has it; servers reserved for arrivals of urgent work stay reserved; work starts away from its data after 2.3 s, not 1.5 s.

--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -119,6 +119,10 @@
   /// that is kept for other work. Half of the 3 s that the platform allows them
   /// to stand still while there is room.
   Millis MaxIdleTime{1500};
+  /// The same before it starts away from its data or over several racks, which
+  /// takes `RemoteSlowdown` times as long. It leaves the time that an order
+  /// takes.
+  Millis MaxIdleTimeNearData{2300};
   /// Waiting time after which servers are reserved for a gang.
   Millis GangReserveDelay{300};
   /// Longest duration of a stop; the platform's bound.
@@ -445,16 +449,16 @@
   // Idle work: pod_planner_idle.cpp.
   /// Notes which services have under half of their capacity in use.
   void updateQuietServices(MonoTime now);
-  /// Whether the unit must take any room that there is; see `MaxIdleTime`.
-  bool isOverdue(const Unit &unit, MonoTime now);
+  /// Since when the unit has counted as idle: work that lasts always does,
+  /// other work while nothing of its job runs and its service is quiet. Empty
+  /// if it doesn't.
+  std::optional<MonoTime> idleSince(const Unit &unit);
   /// Packs the request of an overdue unit, also into room that is kept for
-  /// gangs or reserved for urgent work.
+  /// gangs, or reserved for work that has waited for long.
   std::optional<std::vector<std::size_t>>
   packOverdue(std::vector<PackingServer> &view, PackingRequest request);
-  /// The same away from the data, if there is room for twice the request:
-  /// otherwise, waiting for the data may be the sooner end.
-  std::optional<std::vector<std::size_t>>
-  packOverdueFar(std::vector<PackingServer> &view, PackingRequest request);
+  /// Whether it would find room for the request twice over.
+  bool hasRoomTwice(std::vector<PackingServer> &view, PackingRequest request);
   // Pace of the runs: pod_planner_pace.cpp.
   /// A run reports its progress, 100 when it has ended as done.
   void measurePace(const TaskName &task, TaskRecord &record, int percent,
--- a/packages/workload/src/pod_planner_idle.cpp
+++ b/packages/workload/src/pod_planner_idle.cpp
@@ -62,22 +62,20 @@
   QuietSince = std::move(quiet);
 }
 
-bool PodPlanner::isOverdue(const Unit &unit, MonoTime now) {
+std::optional<MonoTime> PodPlanner::idleSince(const Unit &unit) {
   PlannedWork &work = Works.at(unit.Work);
-  MonoTime since = unit.WaitingSince;
-  if (!work.Spec.LongRunning) {
-    const auto quiet = QuietSince.find(work.Spec.Service);
-    if (quiet == QuietSince.end() || anyPlaced(work))
-      return false;
-    since = std::max({since, quiet->second, work.LastRunAt});
-  }
-  return now - since >= Options.MaxIdleTime;
+  if (work.Spec.LongRunning)
+    return unit.WaitingSince;
+  const auto quiet = QuietSince.find(work.Spec.Service);
+  if (quiet == QuietSince.end() || anyPlaced(work))
+    return std::nullopt;
+  return std::max({unit.WaitingSince, quiet->second, work.LastRunAt});
 }
 
 std::optional<std::vector<std::size_t>>
 PodPlanner::packOverdue(std::vector<PackingServer> &view,
                         PackingRequest request) {
-  request.Access = AccessLevel::Urgent;
+  request.Access = std::max(request.Access, AccessLevel::LongWaiting);
   if (OverdueOutcomes.find(request) == false)
     return std::nullopt;
   for (PackingServer &it : view)
@@ -90,15 +88,10 @@
   return found;
 }
 
-std::optional<std::vector<std::size_t>>
-PodPlanner::packOverdueFar(std::vector<PackingServer> &view,
-                           PackingRequest request) {
-  const std::uint32_t count = request.Count;
-  request.Count = 2 * count;
-  auto found = packOverdue(view, std::move(request));
-  if (found)
-    found->resize(count);
-  return found;
+bool PodPlanner::hasRoomTwice(std::vector<PackingServer> &view,
+                              PackingRequest request) {
+  request.Count *= 2;
+  return packOverdue(view, std::move(request)).has_value();
 }
 
 IdleStep PodPlanner::reviewIdleStep(const Unit &unit,
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -137,18 +137,21 @@
   const PackingRequest local = requestOf(unit, view, true);
   const bool hasLocality = local.OneRack || !local.Rack.empty();
   auto found = tryPackBySpeed(unit, view, local);
-  const bool overdue = !found && isOverdue(unit, now);
+  const PackingRequest anywhere =
+      hasLocality ? requestOf(unit, view, false) : local;
+  const auto idle = found ? std::nullopt : idleSince(unit);
+  const bool overdue = idle && now - *idle >= Options.MaxIdleTime &&
+                       hasRoomTwice(view, anywhere);
   if (overdue)
     found = packOverdue(view, local);
   const bool isLocal = found.has_value();
-  if (!found && hasLocality) {
-    const PackingRequest anywhere = requestOf(unit, view, false);
-    if (now - unit.WaitingSince >= localityWait(unit) ||
-        !wouldFitEmpty(view, local))
-      found = tryPackBySpeed(unit, view, anywhere);
-    if (!found && overdue)
-      found = packOverdueFar(view, anywhere);
-  }
+  if (!found && hasLocality &&
+      (now - unit.WaitingSince >= localityWait(unit) ||
+       !wouldFitEmpty(view, local)))
+    found = tryPackBySpeed(unit, view, anywhere);
+  if (!found && overdue && hasLocality &&
+      now - *idle >= Options.MaxIdleTimeNearData)
+    found = packOverdue(view, anywhere);
   if (!found)
     return false;
   startAt(unit, *found, isLocal, view, now, round);
