Runs of a job that is left out work on, and their ends are kept

What callers saw: after a return to an earlier build that can't read a job's state, its runs were stopped and their ends acknowledged. A later owner that can read the state found the runs in neither list of the server and started them again, done ones too (TWICE).

Cause: the planner has no such job, so each of its runs is "not the current run", and its end is recorded nowhere before it is acknowledged.

Ruled out: to acknowledge no number from such an end on.

Change: such runs are not stopped, their leases are renewed, and what they occupy is taken from the server's room. Starts that were placed before the server's first list, and were not sent, return. An end is stored under e/TASK/RUN before it is acknowledged. The next owner that can read the state applies it and removes it with the record of the state. If a stored end can't be read, the job stays left out. A cancelled job's runs are stopped. A job whose submission can't be read is not covered: what it occupies isn't known.

left_out_job_test demanded that the end stays on the server. That stands for "no later owner starts the run again", which the new cases check with such an owner, for done and failed runs, and for an owner lost before it stored the end; the demand that the run works on is kept, now with leases that lapse.

With the runs treated as before, 5 of the 8 new cases fail (12 checks, started 3 instead of 1); without the use of room 2, without the stored ends applied 2, without the renewals 6, without the return of unsent starts 1. All tests of packages/control pass.

--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -9,6 +9,7 @@
 #include "citrongap/control/server_link.h"
 #include "citrongap/control/site_configuration.h"
 #include "citrongap/control/speed_records.h"
+#include "citrongap/control/stored_run_ends.h"
 #include "citrongap/control/work_registry.h"
 #include "citrongap/store/batch_appender.h"
 #include "citrongap/store/topic_reader.h"
@@ -103,6 +104,15 @@
   void onFenceWritten(AppendOutcome outcome);
   void activate();
   void loadJob(const WorkId &id);
+  /// Its runs are left alone, and their ends are kept in the store, until a
+  /// later owner can read its state: it would start them again otherwise.
+  void leaveOut(const WorkId &id, const std::string &why);
+  /// The stored ends of runs of the job; empty if one can't be read.
+  std::optional<std::vector<StoredRunEnd>>
+  storedRunEnds(const WorkId &id) const;
+  /// Passes them to the planner and has them removed from the store.
+  void applyRunEnds(const std::vector<StoredRunEnd> &ends);
+  std::optional<Resources> useOfLeftOut(const TaskName &task) const;
   void onServerRecord(const KeyedRecord &record);
   /// Applies again the entries that were ignored for their service.
   void reviewUnnamedEntries();
@@ -287,6 +297,13 @@
   /// The registry may still show an earlier state, as the record of their end
   /// has not been read yet.
   std::set<WorkId> UnreadEnds;
+  /// Jobs whose state can't be read. Unless they are cancelled, their runs are
+  /// not stopped.
+  std::set<WorkId> LeftOut;
+  /// Ends of their runs that the next round records.
+  std::vector<KeyedRecord> UnrecordedLeftOutEnds;
+  /// Stored ends that the planner has taken over; the next round removes them.
+  std::vector<KeyedRecord> AppliedRunEnds;
   /// The jobs topic must be read up to here before the owner becomes active.
   std::optional<LogOffset> ReplayUpTo;
   /// Invariant: true only while `Planner` and `Appender` are set.
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -97,6 +97,12 @@
         Restarted;
     /// `replaced`: a later run of the task has been placed.
     std::function<void(RunOutcome, bool replaced)> RunEnded;
+    /// What a run of the task occupies, if its job is left out: it is neither
+    /// stopped, nor is its end passed to the planner.
+    std::function<std::optional<Resources>(const TaskName &)> UseOfLeftOut;
+    /// Such a run has ended.
+    std::function<void(const ServerIncarnation &, const RunEndReport &)>
+        LeftOutEnded;
     /// All leases have expired while the server was unreachable. Its next
     /// incarnation may still begin the runs `late`.
     std::function<void(const ServerIncarnation &, const std::set<RunId> &late)>
@@ -141,6 +147,8 @@
   bool lastPollFailed() const { return FailedPolls > 0; }
   /// An inactive link renews no leases and sends no orders.
   void setActive(bool active) { Active = active; }
+  /// Requests the lists with a short poll while a long poll is in flight.
+  void requestLists();
   /// Polls if runs, unacknowledged run ends or failed polls call for it.
   void pollIfNeeded();
   /// Highest number of a received run end. It must be recorded before it is
@@ -197,8 +205,6 @@
   void onStart(const RunId &id, FleetResult<OrderAcknowledged> result);
   void onStop(const RunId &id, FleetResult<OrderAcknowledged> result);
   void poll();
-  /// Requests the lists with a short poll while a long poll is in flight.
-  void requestLists();
   void sendPoll(PollRequest request, bool isLongPoll);
   void onPoll(MonoTime sentAt, std::uint64_t acknowledged, bool isLongPoll,
               FleetResult<PollAnswer> result);
@@ -211,6 +217,8 @@
   void withdrawStart(const RunId &run, const TrackedRun &tracked);
   void stopObsoleteRuns();
   void applyRunning(const ListedRun &run, MonoTime now);
+  /// Notes the listed runs of jobs that are left out.
+  void noteLeftOutRuns(const PollAnswer &answer);
   void applyRunEnd(const RunEndReport &end, MonoTime now);
   /// Runs in neither list have not been carried out, unless the list of ends
   /// is incomplete.
@@ -271,6 +279,9 @@
   /// Until when an attempt to start the run may be carried out late, if one has
   /// no answer. The run may have ended.
   std::map<RunId, MonoTime> LateStarts;
+  /// Listed runs of jobs that are left out, and what they occupy.
+  std::size_t LeftOutRuns = 0;
+  Resources LeftOutUse;
   bool Active = true;
   bool LongPollInFlight = false;
   int ListRequestsInFlight = 0;
--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -99,6 +99,9 @@
   std::optional<MonoTime> leasesEndFrom(const ServerIncarnation &server) const;
   /// Servers of which such a record was read before this time.
   std::vector<BackendServerId> leaseEndsReadBefore(MonoTime at) const;
+  /// Stored ends of runs of the job, by key; see stored_run_ends.h. Empty
+  /// unless an owner has left it out.
+  const std::map<std::string, std::string> &runEnds(const WorkId &id) const;
   /// Latest record of the speeds of each group of machines, readable or not;
   /// see speed_records.h.
   const std::map<std::size_t, std::string> &speedRecords() const {
@@ -119,6 +122,7 @@
   void applyCancellation(const WorkId &id, const std::string &value);
   void applyLeaseEnd(const BackendServerId &id, const KeyedRecord &record);
   void applySpeeds(const KeyedRecord &record);
+  void applyRunEnd(const KeyedRecord &record);
   /// An entry VM has published its address, or that it writes lease ends.
   void noteVm(const EntryVmId &id, bool writesLeaseEnds);
 
@@ -132,6 +136,7 @@
   };
   std::map<BackendServerId, LeaseEnd> LeaseEnds;
   std::map<std::size_t, std::string> SpeedRecordOfGroup;
+  std::map<WorkId, std::map<std::string, std::string>> RunEnds;
   /// Whether each known entry VM writes lease ends.
   std::map<EntryVmId, bool> Vms;
   /// Since when all of them do; empty if one does not.
--- a/packages/control/src/pod_controller.cpp
+++ b/packages/control/src/pod_controller.cpp
@@ -181,6 +181,9 @@
   StartsOfDroppedLinks.clear();
   DroppedLinks.clear();
   UnreadEnds.clear();
+  LeftOut.clear();
+  UnrecordedLeftOutEnds.clear();
+  AppliedRunEnds.clear();
   Metrics.Speeds.Machines.clear();
   Metrics.IdleSteps.clear();
   IdleReasons.clear();
@@ -222,24 +225,28 @@
       if (auto *known = std::get_if<WorkRecord>(&read)) {
         record = std::move(*known);
       } else {
-        // A job with an unknown state could run twice if it were started.
-        Log("owner", "job_left_out", "request={} why=\"{}\"", id.str(),
-            std::get<Findings>(read).text());
+        leaveOut(id, std::get<Findings>(read).text());
         return;
       }
     }
     if (ended(record.Phase) && !record.anyPlaced())
       return;
+    const auto ends = storedRunEnds(id);
+    if (!ends) {
+      leaveOut(id, "a stored end of its runs can't be read");
+      return;
+    }
     const Millis age(std::max<std::int64_t>(
         toMillis(wallNow()) - entry->Spec->AcceptedAtMs, 0));
     if (!NamedServices.empty())
       addServices({entry->Spec->Service});
     Planner->addWork(*entry->Spec, std::move(record), monoNow(), age);
     if (!Planner->find(id)) {
-      Log("owner", "job_left_out",
-          "request={} why=\"its state has other steps or tasks\"", id.str());
+      leaveOut(id, "its state has other steps or tasks");
       return;
     }
+    LeftOut.erase(id);
+    applyRunEnds(*ends);
     // Accepted by a build that had no such bound.
     if (!canRunWithinState(*entry->Spec)) {
       Log("owner", "job_too_large", "request={} state_bytes={}", id.str(),
@@ -255,6 +262,10 @@
   if (!Active)
     return;
   loadJob(id);
+  // Its runs are stopped once they are listed, if it was cancelled.
+  if (LeftOut.contains(id))
+    for (const auto &[incarnation, link] : Links)
+      link->requestLists();
   scheduleRound();
 }
 
@@ -314,6 +325,11 @@
   }
   for (const WorkId &id : Planner->removeEndedWork())
     UnreadEnds.insert(id);
+  for (KeyedRecord &it : std::exchange(UnrecordedLeftOutEnds, {}))
+    records.push_back(std::move(it));
+  // After the states that include them.
+  for (KeyedRecord &it : std::exchange(AppliedRunEnds, {}))
+    records.push_back(std::move(it));
   if (records.empty()) {
     for (const auto &[incarnation, number] : received)
       Links.at(incarnation)->setRecordedUpTo(number);
@@ -432,6 +448,8 @@
     tombstones.push_back({specKey(id), std::nullopt});
     tombstones.push_back({stateKey(id), std::nullopt});
     tombstones.push_back({cancelKey(id), std::nullopt});
+    for (const auto &[key, value] : Registry.runEnds(id))
+      tombstones.push_back({key, std::nullopt});
   }
   for (const WorkId &it : Registry.earlyCancellationsBefore(
            monoNow() - Options.EarlyCancellationRetention))
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -204,6 +204,12 @@
     if (outcome == RunOutcome::Done && replaced)
       ++Metrics.DoneAfterReplacement;
   };
+  events.UseOfLeftOut = [this](const TaskName &it) { return useOfLeftOut(it); };
+  events.LeftOutEnded = [this](const ServerIncarnation &server,
+                               const RunEndReport &end) {
+    ++Metrics.EndsByKind[describe(end.Outcome)];
+    UnrecordedLeftOutEnds.push_back(storedRunEnd(server, end));
+  };
   events.LeasesExpired = [this](const ServerIncarnation &incarnation,
                                 const std::set<RunId> &late) {
     Planner->expireLeases(incarnation, monoNow(), late);
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -305,7 +305,7 @@
 }
 
 bool ServerLink::needsPoll() const {
-  return !Synchronized || !TrackedRuns.empty() ||
+  return !Synchronized || !TrackedRuns.empty() || LeftOutRuns > 0 ||
          ConfirmedUpTo < ReceivedUpTo || FailedPolls > 0;
 }
 
--- a/packages/control/src/server_link_poll.cpp
+++ b/packages/control/src/server_link_poll.cpp
@@ -15,7 +15,8 @@
   PollRequest request;
   // After a failed poll no lease is renewed: the leases of a server that may be
   // unreachable shall end soon.
-  if (FailedPolls == 0 && !RenewalsBarred && !TrackedRuns.empty()) {
+  if (FailedPolls == 0 && !RenewalsBarred &&
+      (!TrackedRuns.empty() || LeftOutRuns > 0)) {
     request.LeaseUntil = leaseUntil(now);
     if (request.LeaseUntil)
       OwnLeaseEnd = std::max(OwnLeaseEnd, Options.latestLeaseEnd(now));
@@ -148,6 +149,7 @@
   const MonoTime now = monoNow();
   const std::uint64_t before = ReceivedUpTo;
   Synchronized = true;
+  noteLeftOutRuns(answer);
   for (const ListedRun &it : answer.Running)
     applyRunning(it, now);
   for (const RunEndReport &it : answer.Ended)
@@ -169,6 +171,22 @@
     pollIfNeeded();
 }
 
+void ServerLink::noteLeftOutRuns(const PollAnswer &answer) {
+  LeftOutRuns = 0;
+  Resources used;
+  for (const ListedRun &it : answer.Running)
+    if (const auto use = Notify.UseOfLeftOut(it.Task)) {
+      ++LeftOutRuns;
+      used += *use;
+    }
+  if (std::exchange(LeftOutUse, used) == used)
+    return;
+  Planner.setUsedByOthers(Incarnation, used);
+  // They were placed without regard to these runs.
+  returnUnsentStarts();
+  Notify.Changed();
+}
+
 void ServerLink::sendUnconfirmedStarts() {
   std::vector<RunId> unconfirmed;
   for (const auto &[run, it] : TrackedRuns)
@@ -212,6 +230,8 @@
 }
 
 void ServerLink::applyRunning(const ListedRun &run, MonoTime now) {
+  if (Notify.UseOfLeftOut(run.Task))
+    return;
   Planner.recordProgress(run.Task, run.Run, Incarnation, run.Percent, now,
                          run.Checkpoint);
   const auto found = TrackedRuns.find({run.Task, run.Run});
@@ -229,6 +249,13 @@
 
 void ServerLink::applyRunEnd(const RunEndReport &end, MonoTime now) {
   ReceivedUpTo = end.Number;
+  if (Notify.UseOfLeftOut(end.Task)) {
+    Log("run", "ended_left_out", "task={} run={} server={} how={} number={}",
+        end.Task.str(), end.Run, Incarnation.Id.str(), describe(end.Outcome),
+        end.Number);
+    Notify.LeftOutEnded(Incarnation, end);
+    return;
+  }
   forgetRun({end.Task, end.Run}, "ended");
   const bool replaced = Planner.wasReplaced(end.Task, end.Run);
   Notify.RunEnded(end.Outcome, replaced);
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -2,10 +2,12 @@
 // "c/" cancellation. With the id of an entry VM: "v/" address for peers, "w/"
 // the same of one that loads all jobs, "m/" that it writes lease ends. With the
 // id of a backend server: "l/" end of the leases on it. With the number of a
-// group of machines: "x/" their speeds.
+// group of machines: "x/" their speeds. With a task and the number of a run:
+// "e/" its end, if the job is left out.
 #include "citrongap/control/work_registry.h"
 
 #include "citrongap/control/speed_records.h"
+#include "citrongap/control/stored_run_ends.h"
 
 #include <algorithm>
 #include <charconv>
@@ -52,6 +54,10 @@
     applySpeeds(record);
     return;
   }
+  if (kind == 'e') {
+    applyRunEnd(record);
+    return;
+  }
   if (record.Value && (kind == 'v' || kind == 'm'))
     noteVm(EntryVmId(record.Key.substr(2)), kind == 'm');
   if (kind == 'm')
@@ -134,6 +140,24 @@
     SpeedRecordOfGroup.erase(*group);
 }
 
+void WorkRegistry::applyRunEnd(const KeyedRecord &record) {
+  const WorkId id = workOfRunEnd(record.Key);
+  std::map<std::string, std::string> &ends = RunEnds[id];
+  if (record.Value)
+    ends.insert_or_assign(record.Key, *record.Value);
+  else
+    ends.erase(record.Key);
+  if (ends.empty())
+    RunEnds.erase(id);
+}
+
+const std::map<std::string, std::string> &
+WorkRegistry::runEnds(const WorkId &id) const {
+  static const std::map<std::string, std::string> None;
+  const auto found = RunEnds.find(id);
+  return found == RunEnds.end() ? None : found->second;
+}
+
 void WorkRegistry::noteVm(const EntryVmId &id, bool writesLeaseEnds) {
   bool &writes = Vms[id];
   writes = writes || writesLeaseEnds;
@@ -205,6 +229,10 @@
   std::erase_if(SpeedRecordOfGroup, [&](const auto &it) {
     return !keys.contains(speedKey(it.first));
   });
+  for (auto &[id, ends] : RunEnds)
+    std::erase_if(ends,
+                  [&](const auto &it) { return !keys.contains(it.first); });
+  std::erase_if(RunEnds, [](const auto &it) { return it.second.empty(); });
   for (auto &[id, entry] : Entries) {
     entry.Unfound = !keys.contains(specKey(id)) && !keys.contains(stateKey(id));
     entry.CancellationUnfound = !keys.contains(cancelKey(id));
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -225,6 +225,8 @@
   /// Unreachable and unlisted servers get no starts.
   void setReachable(const BackendServerId &id, bool reachable);
   void setListed(const BackendServerId &id, bool listed);
+  /// Runs of jobs that the planner doesn't have occupy this much there.
+  void setUsedByOthers(const ServerIncarnation &server, const Resources &use);
   /// Servers in these data centres get no starts.
   void setEvacuated(std::set<DataCentreId> dataCentres);
   /// The process has ended with all its runs, which may start elsewhere.
--- a/packages/workload/include/citrongap/workload/server_table.h
+++ b/packages/workload/include/citrongap/workload/server_table.h
@@ -31,9 +31,11 @@
 
 struct ServerSlot {
   ServerEntry Entry;
-  /// Capacity less the allocations of placed runs, including those being
-  /// stopped.
+  /// Capacity less `UsedByOthers` and the allocations of placed runs, including
+  /// those being stopped.
   Resources Free;
+  /// Allocations of runs of jobs that the planner doesn't have.
+  Resources UsedByOthers;
   /// Allocations of the placed runs that are being stopped.
   Resources Stopping;
   /// Set when the server refuses a start.
--- a/packages/workload/src/pod_planner.cpp
+++ b/packages/workload/src/pod_planner.cpp
@@ -86,6 +86,16 @@
     slot->Listed = listed;
 }
 
+void PodPlanner::setUsedByOthers(const ServerIncarnation &server,
+                                 const Resources &use) {
+  ServerSlot *slot = Servers.find(server);
+  if (!slot)
+    return;
+  slot->Free += slot->UsedByOthers;
+  slot->Free -= use;
+  slot->UsedByOthers = use;
+}
+
 void PodPlanner::expireLeases(const ServerIncarnation &incarnation,
                               MonoTime now, const std::set<RunId> &late) {
   releaseAll(incarnation, causeOfLoss(incarnation, LossCause::ExpiredLease),
