The soak plays the incident's site and judges idle jobs

The soak's judge had no bound between acceptance and end but the 30 s to settle, and its site had one data centre, one speed, no labels, racks for data, recurring jobs or checkpoints, so it could not see the report.

--site guild: three data centres with 7 entry VMs and 48 servers of two speeds, a quarter of them with a label; gangs in one rack, whole servers, labels, data racks, checkpoints, three priorities with a guarantee of 128 accelerators; a data centre loses the store and one is cut off, beside the other faults, then at least 11 s of calm under load. The judge finds a job of which nothing runs for 3 s while a step's turn has come, servers have room for it twice over, and under half of each resource is in use, outside of faults and of the 9 s after them; on every site. It reads the stand-in servers' runs and the answers of callers only.

--- a/testing/soak/src/fault_plan.cpp
+++ b/testing/soak/src/fault_plan.cpp
@@ -23,18 +23,26 @@
 constexpr auto LastDrawn = static_cast<std::uint64_t>(FaultKind::Publish);
 /// A series ends within so many leases.
 constexpr int SeriesLeases = 4;
+/// Its faults begin in the first seconds; 11 s of it at least are calm.
+constexpr Seconds DataCentreSeries{30};
+constexpr Millis FaultsBegin{4000};
 
 } // namespace
 
 const char *describe(FaultKind kind) {
-  static constexpr std::array<const char *, 21> Names{
-      "vm killed",          "vm stopped",      "vm paused",
-      "vm reloads",         "store busy",      "store silent",
-      "store answers lost", "store slow",      "store reset",
-      "store rebalances",   "store compacted", "server crashes",
-      "server leaves",      "server cut",      "server answers lost",
-      "server late",        "server reset",    "publish",
-      "owner killed",       "calls late",      "odd entry"};
+  static constexpr std::array<const char *, 23> Names{
+      "vm killed",           "vm stopped",
+      "vm paused",           "vm reloads",
+      "store busy",          "store silent",
+      "store answers lost",  "store slow",
+      "store reset",         "store rebalances",
+      "store compacted",     "server crashes",
+      "server leaves",       "server cut",
+      "server answers lost", "server late",
+      "server reset",        "publish",
+      "owner killed",        "calls late",
+      "odd entry",           "data centre loses the store",
+      "data centre cut"};
   return Names.at(static_cast<std::size_t>(kind));
 }
 
@@ -106,6 +114,28 @@
   return out;
 }
 
+std::vector<PlannedFault> planDataCentres(std::uint64_t seed, std::size_t count,
+                                          MonoTime from, MonoTime until,
+                                          const SiteShape &shape) {
+  Random numbers(seed);
+  const auto draw = [&](std::uint64_t low, std::uint64_t high) {
+    return Millis(static_cast<std::int64_t>(numbers.between(low, high)));
+  };
+  std::vector<PlannedFault> out;
+  for (MonoTime at = from; at < until; at += DataCentreSeries) {
+    for (const PlannedFault &it :
+         planFaults(numbers.engine()(), count, at, at + FaultsBegin, shape))
+      out.push_back(it);
+    const MonoTime first = at + draw(0, 1500);
+    for (const auto &[when, kind] :
+         {std::pair(first, FaultKind::DataCentreFromStore),
+          {first + draw(0, 2500), FaultKind::DataCentreCut}})
+      out.push_back({when, kind, numbers.between(0, shape.DataCentres - 1U),
+                     false, draw(3000, 5500)});
+  }
+  return out;
+}
+
 void FaultRunner::schedule(const PlannedFault &fault) {
   Timers.push_back(Loop.at(fault.At, [this, fault] { begin(fault); }));
 }
@@ -140,6 +170,10 @@
   case FaultKind::OddEntry:
     Site.putOddEntry(Site.servers().at(fault.Target), ++OddEntries);
     return;
+  case FaultKind::DataCentreFromStore:
+  case FaultKind::DataCentreCut:
+    onDataCentre(fault);
+    return;
   default:
     break;
   }
@@ -152,6 +186,17 @@
       onVm(fault, Site.vms()[n]);
 }
 
+void FaultRunner::onDataCentre(const PlannedFault &fault) {
+  for (SoakVm &it : Site.vms())
+    if (it.DataCentre == fault.Target)
+      onVm({fault.At, FaultKind::StoreSilent, 0, false, fault.Span}, it);
+  if (fault.Kind == FaultKind::DataCentreFromStore)
+    return;
+  for (SoakServer &it : Site.servers())
+    if (it.DataCentre == fault.Target)
+      onServer({fault.At, FaultKind::ServerCut, 0, false, fault.Span}, it);
+}
+
 void FaultRunner::killOwner(Millis away) {
   View.findOwner("", TopicId("keyed.jobs"), monoNow() + Seconds(1),
                  [this, away](const StoreResult<TopicOwner> &result) {
--- a/testing/soak/src/fault_plan.h
+++ b/testing/soak/src/fault_plan.h
@@ -37,6 +37,9 @@
   CallsLate,
   // These are planned by planOddEntries() only.
   OddEntry,
+  // These are planned by planDataCentres() only; the target is a data centre.
+  DataCentreFromStore,
+  DataCentreCut,
   Count
 };
 
@@ -67,6 +70,12 @@
                                          MonoTime from, MonoTime until,
                                          const SiteShape &shape);
 Millis seriesLength(const SiteShape &shape);
+/// Series of `count` faults, a cut of a data centre from the store and one of a
+/// data centre from servers and store; then time in which the site is calm
+/// while load goes on.
+std::vector<PlannedFault> planDataCentres(std::uint64_t seed, std::size_t count,
+                                          MonoTime from, MonoTime until,
+                                          const SiteShape &shape);
 
 /// Carries faults out and takes them away after their span.
 class FaultRunner {
@@ -83,6 +92,9 @@
   void killOwner(Millis away);
   void onVm(const PlannedFault &fault, SoakVm &vm);
   void onServer(const PlannedFault &fault, SoakServer &server);
+  /// Entry VMs of other data centres don't reach its servers either way. Its
+  /// entry VMs still reach those of others: a server has one relay.
+  void onDataCentre(const PlannedFault &fault);
   void undoLater(Millis span, std::function<void()> undo);
 
   EventLoop &Loop;
--- a/testing/soak/src/fault_plan_test.cpp
+++ b/testing/soak/src/fault_plan_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace citrongap;
 using namespace citrongap::soak;
 
@@ -36,4 +38,20 @@
   BOOST_TEST(cut > 0U);
 }
 
+BOOST_AUTO_TEST_CASE(data_centre_is_cut_in_each_series_and_calm_follows) {
+  const MonoTime from{Millis(1000)};
+  std::size_t cuts = 0;
+  MonoTime last = from;
+  for (const PlannedFault &it :
+       planDataCentres(7, 5, from, from + Seconds(22), guildSite())) {
+    const bool cut = it.Kind >= FaultKind::DataCentreFromStore;
+    cuts += cut ? 1U : 0U;
+    if (cut)
+      BOOST_TEST(it.Target < 3U);
+    last = std::max(last, it.At + it.Span);
+  }
+  BOOST_TEST(cuts == 2U);
+  BOOST_TEST((last < from + Seconds(10)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/testing/soak/src/judge.cpp
+++ b/testing/soak/src/judge.cpp
@@ -17,6 +17,46 @@
 constexpr Millis DrainWithin{2000};
 /// Starts after the job was shown as completed that were on their way.
 constexpr Millis LateStart{1000};
+/// A job may have nothing running for so long beside room for it.
+constexpr Millis IdleWithin{3000};
+
+bool stepDone(const JobStory &job, TaskName task) {
+  const StepSpec &step = job.Spec.Steps.at(task.Step);
+  for (task.Index = 0; task.Index < step.Count; ++task.Index)
+    // A gang's end stands for all its members.
+    if (job.Done.contains(task) == step.Gang)
+      return step.Gang;
+  return !step.Gang;
+}
+
+bool fitsTwice(const StepSpec &step, const std::vector<ServerRoom> &servers) {
+  const std::uint32_t wanted = 2 * (step.Gang ? step.Count : 1);
+  std::uint32_t found = 0;
+  for (const ServerRoom &it : servers) {
+    if (!step.RequiredLabel.empty() &&
+        std::find(it.Labels.begin(), it.Labels.end(), step.RequiredLabel) ==
+            it.Labels.end())
+      continue;
+    for (Resources free = it.Free;
+         found < wanted && step.Requested.fitsIn(free); ++found)
+      free -= step.Requested;
+  }
+  return found == wanted;
+}
+
+std::string describeStep(const WorkSpec &spec, std::uint32_t n) {
+  const StepSpec &step = spec.Steps.at(n);
+  return fmt::format(
+      "priority {}, {} {} of {} accelerators{}, label '{}', rack '{}'",
+      spec.Priority, step.Count, step.Gang ? "in a gang" : "tasks",
+      step.Requested.GpuCount, step.OneRack ? " in one rack" : "",
+      step.RequiredLabel, step.DataRack.str());
+}
+
+bool underHalf(const Resources &free, const Resources &all) {
+  return free.GpuCount * 2 > all.GpuCount &&
+         free.CpuMillis * 2 > all.CpuMillis && free.MemoryMb * 2 > all.MemoryMb;
+}
 
 } // namespace
 
@@ -130,8 +170,9 @@
   if (!ended(*phase))
     return;
   // A gang's end stands for all its members; single tasks end one by one.
-  const bool gang = job.Spec.Steps.at(0).Gang;
-  const std::size_t each = gang ? 1 : job.Spec.Steps.at(0).Count;
+  std::size_t each = 0;
+  for (const StepSpec &it : job.Spec.Steps)
+    each += it.Gang ? 1 : it.Count;
   const std::size_t wanted = each * job.Spec.occurrences();
   if (*phase == WorkPhase::Completed && job.Done.size() < wanted)
     add(now, fmt::format("false end: {} is shown as completed, {} of {} tasks "
@@ -149,7 +190,82 @@
   job.Ended = phase;
 }
 
+std::optional<TaskName> Judge::idleStep(const WorkId &id, const JobStory &job,
+                                        const std::vector<ServerRoom> &servers,
+                                        std::int64_t wallMs) const {
+  const auto first = Running.lower_bound(TaskName{id, 0, 0, 0});
+  const bool runs = first != Running.end() && first->first.Work == id;
+  if (!job.AcceptedAt || job.CancelSent || job.Ended || runs)
+    return std::nullopt;
+  const std::vector<StepSpec> &steps = job.Spec.Steps;
+  for (std::uint32_t k = 0; k < job.Spec.occurrences(); ++k) {
+    if (job.Spec.dueAtMs(k) > wallMs)
+      break;
+    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+      const TaskName task{id, k, s, 0};
+      const auto &before = steps[s].DependsOn;
+      const bool turn =
+          std::all_of(before.begin(), before.end(), [&](std::uint32_t it) {
+            return stepDone(job, {id, k, it, 0});
+          });
+      if (turn && !stepDone(job, task) && fitsTwice(steps[s], servers))
+        return task;
+    }
+  }
+  return std::nullopt;
+}
+
+void Judge::takeRoom(std::vector<ServerRoom> &servers) const {
+  std::map<BackendServerId, ServerRoom *> byId;
+  for (ServerRoom &it : servers) {
+    it.Free = it.Capacity;
+    byId[it.Id] = &it;
+  }
+  for (const auto &[task, place] : Running)
+    if (const auto at = byId.find(place.Server.Id); at != byId.end())
+      at->second->Free -=
+          Stories.at(task.Work).Spec.Steps.at(task.Step).allocation();
+}
+
+void Judge::review(std::vector<ServerRoom> sound, MonoTime now,
+                   std::int64_t wallMs) {
+  const Millis passed = now - std::exchange(ReviewedAt, now).value_or(now);
+  takeRoom(sound);
+  Resources free;
+  Resources all;
+  for (const ServerRoom &it : sound) {
+    free += it.Free;
+    all += it.Capacity;
+  }
+  const bool judged = now > CalmFrom && underHalf(free, all);
+  if (judged)
+    IdleJudged += passed;
+  for (const auto &[id, job] : Stories) {
+    const auto task = judged ? idleStep(id, job, sound, wallMs) : std::nullopt;
+    if (!task) {
+      if (const auto known = IdleJobs.extract(id))
+        endIdle(known.mapped());
+      continue;
+    }
+    Idle &idle = IdleJobs.try_emplace(id, Idle{now, now, ""}).first->second;
+    idle.Until = now;
+    if (idle.What.empty() && now - idle.Since >= IdleWithin)
+      idle.What = fmt::format("{}, {}, {} of {} accelerators free", task->str(),
+                              describeStep(job.Spec, task->Step), free.GpuCount,
+                              all.GpuCount);
+  }
+}
+
+void Judge::endIdle(const Idle &idle) {
+  if (!idle.What.empty())
+    add(idle.Until,
+        fmt::format("idle: {}, nothing of its job runs from {} to {}",
+                    idle.What, toMillis(idle.Since), toMillis(idle.Until)));
+}
+
 void Judge::atEnd(MonoTime now) {
+  for (const auto &[id, idle] : IdleJobs)
+    endIdle(idle);
   for (const auto &[id, job] : Stories)
     if (job.AcceptedAt && !job.Ended)
       add(now,
--- a/testing/soak/src/soak_callers.cpp
+++ b/testing/soak/src/soak_callers.cpp
@@ -4,6 +4,7 @@
 #include "site_messages.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <memory>
 
@@ -22,6 +23,21 @@
 constexpr unsigned FailPercent = 4;
 constexpr unsigned GangPercent = 40;
 constexpr unsigned LongPercent = 30;
+// Of a mixed site.
+constexpr unsigned UrgentPercent = 53;
+/// Of those that are not urgent.
+constexpr unsigned PreviewPercent = 48;
+constexpr unsigned MixedGangPercent = 70;
+constexpr unsigned OneRackPercent = 70;
+constexpr unsigned SavesPercent = 45;
+constexpr unsigned LabelPercent = 30;
+constexpr unsigned DataRackPercent = 30;
+constexpr unsigned RecurringPercent = 10;
+constexpr unsigned TwoStepPercent = 30;
+constexpr unsigned WidePercent = 10;
+constexpr unsigned OtherAccountPercent = 40;
+/// Of recurring jobs.
+constexpr Millis Interval{3000};
 /// A connection that ends within this of its process may have lost a request
 /// that was never read.
 constexpr Millis EndRace{60};
@@ -49,28 +65,33 @@
   return *ready[Numbers.between(0, ready.size() - 1)];
 }
 
-HttpRequest Callers::request(const char *method,
-                             const std::string &path) const {
+HttpRequest Callers::request(const char *method, const std::string &path,
+                             const std::string &account) const {
   HttpRequest out;
   out.Method = method;
   out.Target = path;
   out.Headers = {{"Host", "soak.example"},
-                 {"Api-Key", "key-quetta"},
+                 {"Api-Key", "key-" + account},
                  {"Deadline-Ms", std::to_string(CallWithin.count())}};
   return out;
 }
 
-std::string Callers::pathOf(const WorkId &id) const {
-  const bool urgent = Judging.story(id).Spec.Priority == 0;
-  return fmt::format("/{}/{}", urgent ? "urgent" : "batch", id.str());
+HttpRequest Callers::request(const char *method, const WorkId &id) const {
+  static constexpr std::array<const char *, 3> Queues{"urgent", "batch",
+                                                      "preview"};
+  const WorkSpec &spec = Judging.story(id).Spec;
+  return request(method,
+                 fmt::format("/{}/{}", Queues.at(spec.Priority), id.str()),
+                 spec.Account.str());
 }
 
 void Callers::submitOne() {
+  if (Site.shape().Mixed) {
+    submitMixed();
+    return;
+  }
   const WorkId id(Numbers.uniqueId().substr(0, IdDigits));
   JobStory &job = Judging.story(id);
-  const auto dice = [this](unsigned percent) {
-    return Numbers.between(1, 100) <= percent;
-  };
   StepSpec step;
   step.Gang = dice(GangPercent);
   step.Count = static_cast<std::uint32_t>(Numbers.between(1, 6));
@@ -84,6 +105,7 @@
   job.Program.Fails = dice(FailPercent);
   step.EstimateMs = job.Program.Work.count();
   job.Spec.Priority = dice(50) ? 0 : 1;
+  job.Spec.Account = ClientAccountId("quetta");
   job.Spec.Payload = job.Program.str();
   job.Spec.Steps.push_back(step);
   ++Undecided;
@@ -92,6 +114,75 @@
     later(Millis(Numbers.between(50, 2000)), [this, id] { cancel(id); });
 }
 
+StepSpec Callers::drawMixedStep(std::uint32_t priority) {
+  static constexpr std::array<std::int64_t, 5> Gpus{1, 2, 4, 8, 8};
+  const bool urgent = priority == 0;
+  const bool preview = priority == 2;
+  const auto draw = [this](unsigned low, unsigned high) {
+    return static_cast<std::uint32_t>(Numbers.between(low, high));
+  };
+  StepSpec step;
+  step.Gang = urgent || (!preview && dice(MixedGangPercent));
+  step.Count =
+      dice(WidePercent) ? draw(6, urgent ? 18 : 24) : draw(1, preview ? 16 : 6);
+  const std::int64_t gpus = preview ? 1 : Gpus.at(draw(0, Gpus.size() - 1));
+  if (urgent)
+    step.Requested = {15000, 39000, gpus};
+  else if (preview)
+    step.Requested = {11000, 29000, gpus};
+  else
+    step.Requested = {52000, 140000, gpus};
+  step.OneRack = step.Gang && step.Count <= Site.shape().ServersPerRack &&
+                 dice(OneRackPercent);
+  step.Checkpoints = !urgent && dice(SavesPercent);
+  if (!urgent && dice(LabelPercent)) {
+    step.RequiredLabel = RareLabel;
+    // Some take a whole server each, and a quarter of the servers has it.
+    step.Count = std::min(step.Count, Site.shape().Servers / 4);
+  } else if (dice(DataRackPercent)) {
+    step.DataRack =
+        Site.servers()[draw(0, Site.shape().Servers - 1)].Entry.Rack;
+  }
+  return step;
+}
+
+void Callers::submitMixed() {
+  const WorkId id(Numbers.uniqueId().substr(0, IdDigits));
+  JobStory &job = Judging.story(id);
+  WorkSpec &spec = job.Spec;
+  if (!dice(UrgentPercent))
+    spec.Priority = dice(PreviewPercent) ? 2 : 1;
+  const bool urgent = spec.Priority == 0;
+  StepSpec step = drawMixedStep(spec.Priority);
+  job.Program.Work = Millis(static_cast<std::int64_t>(
+      urgent ? Numbers.between(800, 3500) : Numbers.between(3000, 6000)));
+  job.Program.Gang = step.Gang ? step.Count : 1;
+  job.Program.Fails = dice(FailPercent);
+  job.Program.Gpus = static_cast<std::uint32_t>(step.Requested.GpuCount);
+  job.Program.Saves = step.Checkpoints;
+  // Estimates are often too low or too high.
+  step.EstimateMs = job.Program.Work.count() *
+                    static_cast<std::int64_t>(Numbers.between(60, 160)) / 100;
+  spec.Account =
+      ClientAccountId(dice(OtherAccountPercent) ? "multan" : "quetta");
+  spec.Payload = job.Program.str();
+  spec.Steps.push_back(step);
+  if (!step.Gang && dice(TwoStepPercent)) {
+    step.Count = 1;
+    step.DependsOn = {0};
+    spec.Steps.push_back(step);
+  }
+  if (!urgent && dice(RecurringPercent)) {
+    spec.Repetitions = 3;
+    spec.IntervalMs = Interval.count();
+    spec.FirstDueMs = toMillis(wallNow()) + Interval.count() / 2;
+  }
+  ++Undecided;
+  submit(id, 1);
+  if (dice(CancelPercent))
+    later(Millis(Numbers.between(50, 4000)), [this, id] { cancel(id); });
+}
+
 void Callers::submitSeries() {
   const WorkId id(Numbers.uniqueId().substr(0, IdDigits));
   JobStory &job = Judging.story(id);
@@ -101,6 +192,7 @@
   job.Program.Work = ShortWork;
   step.EstimateMs = job.Program.Work.count();
   job.Spec.Priority = 1;
+  job.Spec.Account = ClientAccountId("quetta");
   job.Spec.Payload = job.Program.str();
   job.Spec.Steps.push_back(step);
   job.Spec.Repetitions = DueOccurrences;
@@ -113,7 +205,7 @@
 
 void Callers::submit(const WorkId &id, int tries) {
   SoakVm &vm = choose();
-  HttpRequest out = request("POST", pathOf(id));
+  HttpRequest out = request("POST", id);
   JobStory &job = Judging.story(id);
   out.Body = wire::encodeSubmission(job.Spec);
   ++job.MaybeStored;
@@ -169,7 +261,7 @@
     return;
   SoakVm &vm = choose();
   const Call call{vm.Name, monoNow()};
-  Http.call(vm.Callers, request("GET", pathOf(id)), call.SentAt + CallWithin,
+  Http.call(vm.Callers, request("GET", id), call.SentAt + CallWithin,
             [this, id, call](const HttpResult &result) {
               checkCut(call, result);
               const auto *response = std::get_if<HttpResponse>(&result);
@@ -193,7 +285,7 @@
 void Callers::sendCancel(const WorkId &id) {
   SoakVm &vm = choose();
   const Call call{vm.Name, monoNow()};
-  Http.call(vm.Callers, request("DELETE", pathOf(id)), call.SentAt + CallWithin,
+  Http.call(vm.Callers, request("DELETE", id), call.SentAt + CallWithin,
             [this, id, call](const HttpResult &result) {
               checkCut(call, result);
               const auto *response = std::get_if<HttpResponse>(&result);
--- a/testing/soak/src/soak_callers.h
+++ b/testing/soak/src/soak_callers.h
@@ -19,6 +19,10 @@
 
   /// Hands in one more job.
   void submitOne();
+  /// Hands in one more job of a mixed site: gangs whose tasks need most of a
+  /// server's memory, small urgent gangs, and wide work of single tasks; some
+  /// in one rack, with a label or a data rack, recurring, or with checkpoints.
+  void submitMixed();
   /// Hands in a job of many short occurrences, all of which are due.
   void submitSeries();
   /// From now on, some submissions of unknown fate are cancelled.
@@ -41,8 +45,11 @@
   };
 
   SoakVm &choose();
-  HttpRequest request(const char *method, const std::string &path) const;
-  std::string pathOf(const WorkId &id) const;
+  HttpRequest request(const char *method, const WorkId &id) const;
+  HttpRequest request(const char *method, const std::string &path,
+                      const std::string &account = "quetta") const;
+  StepSpec drawMixedStep(std::uint32_t priority);
+  bool dice(unsigned percent) { return Numbers.between(1, 100) <= percent; }
   void submit(const WorkId &id, int tries);
   void onSubmitted(const WorkId &id, int tries, const Call &call,
                    const HttpResult &result);
--- a/testing/soak/src/soak_main.cpp
+++ b/testing/soak/src/soak_main.cpp
@@ -24,6 +24,8 @@
 constexpr Millis TendEvery{50};
 /// From the last fault: leases lapse (6 s), take-overs, retries; twice that.
 constexpr Seconds SettleWithin{30};
+/// Of a mixed site, where gangs queue for the servers with the label.
+constexpr Seconds MixedSettleWithin{60};
 constexpr Millis ConfigurationWithin{2000};
 /// Half of the usual one, so that a series that outlasts it stays short.
 constexpr Millis SeriesLease{3000};
@@ -81,7 +83,8 @@
     const MonoTime until =
         seriesFrom + seriesLength(Given.Shape) * Given.Series;
     for (const PlannedFault &it :
-         planFaults(Given.Seed, Given.Faults, from, seriesFrom, Given.Shape))
+         (Given.Shape.Mixed ? planDataCentres : planFaults)(
+             Given.Seed, Given.Faults, from, seriesFrom, Given.Shape))
       Faults.schedule(it);
     for (const PlannedFault &it :
          planSeries(Given.Seed + 2, seriesFrom, until, Given.Shape))
@@ -100,7 +103,8 @@
   }
 
   void settle() {
-    const MonoTime until = monoNow() + SettleWithin;
+    const MonoTime until =
+        monoNow() + (Given.Shape.Mixed ? MixedSettleWithin : SettleWithin);
     while (monoNow() < until &&
            (Calling.open() > 0 || Site.model().running() > 0))
       runFor(Millis(200));
@@ -108,9 +112,15 @@
 
   void tend() {
     Site.tend();
-    for (const SoakServer &it : Site.servers())
+    std::vector<ServerRoom> sound;
+    for (const SoakServer &it : Site.servers()) {
       Judging.onDraining(it.Entry.Incarnation.Id, it.DrainingSince);
+      if (!it.DrainingSince && !it.ReturnsAt)
+        sound.push_back(
+            {it.Entry.Incarnation.Id, it.Entry.Labels, it.Entry.Capacity, {}});
+    }
     Site.model().advance(monoNow());
+    Judging.review(std::move(sound), monoNow(), toMillis(wallNow()));
   }
 
   int report() {
@@ -126,6 +136,8 @@
     }
     for (const std::string &it : Judging.findings())
       fmt::print("FAULT {}\n", it);
+    fmt::print("idle jobs could be found in {} ms\n",
+               Judging.idleJudged().count());
     fmt::print("soak seed {}: {} faults injected, {} jobs, {} accepted, {} "
                "refused, {} starts, {} findings\n",
                Given.Seed, Given.Faults, Judging.stories().size(),
@@ -146,18 +158,31 @@
 
 int runWith(const cxxopts::ParseResult &arguments) {
   Options options;
+  const std::string site = arguments["site"].as<std::string>();
+  if (site == "guild") {
+    options.Shape = guildSite();
+    options.JobsPerSecond = 5;
+    options.Length = Seconds(22);
+  } else if (site != "plain") {
+    fmt::print(stderr, "soak: --site is plain or guild\n");
+    return ExitUsage;
+  }
   options.Seed = arguments["seed"].as<std::uint64_t>();
   options.Faults = arguments["faults"].as<std::size_t>();
-  options.Length = Seconds(arguments["seconds"].as<std::int64_t>());
-  options.JobsPerSecond = arguments["rate"].as<unsigned>();
-  options.Shape.EntryVms = arguments["vms"].as<unsigned>();
+  if (arguments.count("seconds") > 0)
+    options.Length = Seconds(arguments["seconds"].as<std::int64_t>());
+  if (arguments.count("rate") > 0)
+    options.JobsPerSecond = arguments["rate"].as<unsigned>();
+  if (arguments.count("vms") > 0)
+    options.Shape.EntryVms = arguments["vms"].as<unsigned>();
   options.OddEntries = arguments["odd-entries"].as<std::size_t>();
   options.Series = arguments["series"].as<unsigned>();
   if (options.Series > 0) {
     options.Shape.MaxLease = SeriesLease;
     options.Shape.LongestWork = SeriesWork;
   }
-  options.Shape.Servers = arguments["servers"].as<unsigned>();
+  if (arguments.count("servers") > 0)
+    options.Shape.Servers = arguments["servers"].as<unsigned>();
   options.Shape.Program =
       arguments["build"].as<std::string>() + "/platform/citrongap_entry";
   options.Shape.Directory =
@@ -201,6 +226,10 @@
       "undecided submissions are cancelled, and jobs with many due occurrences "
       "come",
       cxxopts::value<std::size_t>()->default_value("0"))(
+      "site",
+      "plain, or guild: three data centres, 7 entry VMs, 48 servers of two "
+      "speeds, mixed jobs, cuts of data centres; then --rate 5 --seconds 22",
+      cxxopts::value<std::string>()->default_value("plain"))(
       "servers", "backend servers",
       cxxopts::value<unsigned>()->default_value("12"))(
       "build", "build tree",
--- a/testing/soak/src/soak_site.cpp
+++ b/testing/soak/src/soak_site.cpp
@@ -31,19 +31,44 @@
 constexpr Millis SettlesWithin{4000};
 /// Clocks of backend servers may be 2% slow.
 constexpr double SlowClock = 0.98;
+/// A third of the servers of a mixed site are slower.
+constexpr unsigned SlowShare = 3;
+constexpr double SlowSpeed = 1 / 1.3;
+constexpr unsigned RareShare = 4;
+/// Of the queue that only a mixed site has.
+constexpr unsigned LowestPriority = 2;
 
 std::uint16_t port(std::uint16_t base, unsigned n) {
   return static_cast<std::uint16_t>(base + n);
 }
 
+std::string dataCentreName(std::size_t n) {
+  return fmt::format("dc-{}", n + 1);
+}
+
 } // namespace
 
+SiteShape guildSite() {
+  SiteShape out;
+  out.EntryVms = 7;
+  out.Servers = 48;
+  out.ServersPerRack = 8;
+  out.DataCentres = 3;
+  out.Mixed = true;
+  out.MaxLease = Millis(3000);
+  return out;
+}
+
 SoakSite::SoakSite(EventLoop &loop, SiteShape shape,
                    std::function<void(const wire::RunEvent &)> onRun)
     : Loop(loop), Shape(std::move(shape)), Store(loop),
       Model({.MaxLease = Shape.MaxLease}, std::move(onRun)) {
-  for (const auto &[name, priority] :
-       {std::pair("urgent", 0U), {"batch", 1U}, {"extra", 1U}}) {
+  for (const auto &[name, priority] : {std::pair("urgent", 0U),
+                                       {"batch", 1U},
+                                       {"preview", LowestPriority},
+                                       {"extra", 1U}}) {
+    if (priority == LowestPriority && !Shape.Mixed)
+      continue;
     QueueRules queue;
     queue.Id = QueueId(name);
     queue.Host = "soak.example";
@@ -54,8 +79,13 @@
     Published.Queues.push_back(queue);
   }
   const ClientAccountId account("quetta");
-  Published.Accounts[account] = {account, 16};
+  Published.Accounts[account] = {account, Shape.Mixed ? 128 : 16};
   Published.AccountByKey["key-quetta"] = account;
+  if (Shape.Mixed) {
+    const ClientAccountId other("multan");
+    Published.Accounts[other] = {other, 0};
+    Published.AccountByKey["key-multan"] = other;
+  }
 }
 
 bool SoakSite::start() {
@@ -83,21 +113,29 @@
   it.Entry.Service = "render";
   it.Entry.Ip = testing::loopbackIp(ServersHost);
   it.Entry.Port = port(RelayPort, n);
-  it.Entry.DataCentre = DataCentreId("dc-1");
-  it.Entry.Rack = RackId(fmt::format("r-{}", n / Shape.ServersPerRack));
-  it.Entry.Capacity = {128000, 512000, 8};
+  const unsigned rack = n / Shape.ServersPerRack;
+  it.DataCentre = rack % Shape.DataCentres;
+  it.Entry.DataCentre = DataCentreId(dataCentreName(it.DataCentre));
+  it.Entry.Rack = RackId(fmt::format("r-{}", rack));
+  it.Entry.Capacity = {128000, Shape.Mixed ? 262144 : 512000, 8};
+  if (Shape.Mixed && n % SlowShare == 0)
+    it.Speed = SlowSpeed;
+  if (Shape.Mixed && n % RareShare == 0)
+    it.Entry.Labels = {"a", it.Entry.Rack.str(), RareLabel};
   it.At = {it.Entry.Ip, port(StandinPort, n)};
   it.Standin = std::make_unique<wire::BackendStandin>(Loop, Model,
                                                       it.Entry.Incarnation.Id);
   it.Relay = std::make_unique<testing::Relay>(
       Loop, Endpoint{it.Entry.Ip, it.Entry.Port}, it.At);
-  Model.add(it.Entry.Incarnation, n % 2 == 0 ? SlowClock : 1, monoNow());
+  Model.add(it.Entry.Incarnation, n % 2 == 0 ? SlowClock : 1, monoNow(),
+            it.Speed);
   put(it);
 }
 
 void SoakSite::addVm(unsigned n) {
   SoakVm &it = Vms.emplace_back();
   it.Name = fmt::format("vm-{}", n);
+  it.DataCentre = n % Shape.DataCentres;
   const std::string ip = testing::loopbackIp(FirstVmHost + n);
   const std::string storeIp = testing::loopbackIp(StoreHost);
   it.Callers = {ip, CallersPort};
@@ -119,15 +157,15 @@
 }
 
 void SoakSite::writeSettings(const SoakVm &vm, const std::string &seeds) const {
-  std::ofstream(vm.Settings)
-      << fmt::format("[entry_vm]\nid = {}\ndata_centre = dc-1\nip = {}\n"
-                     "callers = {}\nreadiness = {}\npeers = {}\nseeds = {}\n"
-                     "metrics_port = {}\n[store]\naddress = {}\n"
-                     "shortest_membership_ms = 1000\n[bounds]\n"
-                     "longest_lease_ms = {}\n",
-                     vm.Name, vm.Peers.Ip, vm.Callers.str(), vm.Readiness.str(),
-                     vm.Peers.str(), seeds, MetricsPort, vm.StoreAt.str(),
-                     Shape.MaxLease.count());
+  std::ofstream(vm.Settings) << fmt::format(
+      "[entry_vm]\nid = {}\ndata_centre = {}\nip = {}\n"
+      "callers = {}\nreadiness = {}\npeers = {}\nseeds = {}\n"
+      "metrics_port = {}\n[store]\naddress = {}\n"
+      "shortest_membership_ms = 1000\n[bounds]\n"
+      "longest_lease_ms = {}\n",
+      vm.Name, dataCentreName(vm.DataCentre), vm.Peers.Ip, vm.Callers.str(),
+      vm.Readiness.str(), vm.Peers.str(), seeds, MetricsPort, vm.StoreAt.str(),
+      Shape.MaxLease.count());
 }
 
 void SoakSite::reload(SoakVm &vm) {
@@ -251,7 +289,7 @@
     it.Entry.Incarnation.StartedAtMs = toMillis(wallNow());
     it.Entry.Draining = false;
     it.Entry.DrainRemainingMs = 0;
-    Model.add(it.Entry.Incarnation, 1, now);
+    Model.add(it.Entry.Incarnation, 1, now, it.Speed);
     put(it);
   }
 }
--- a/testing/soak/src/soak_site.h
+++ b/testing/soak/src/soak_site.h
@@ -24,6 +24,10 @@
   unsigned EntryVms = 4;
   unsigned Servers = 12;
   unsigned ServersPerRack = 4;
+  unsigned DataCentres = 1;
+  /// Servers of two speeds, a quarter of them with a label, one account with a
+  /// large guarantee and one without, jobs as in Callers::submitMixed().
+  bool Mixed = false;
   /// Longest lease that backend servers grant.
   Millis MaxLease{6000};
   /// Longest work of a task.
@@ -34,9 +38,15 @@
   std::string Directory;
 };
 
+/// The shape of the site of docs/incidents/idle-jobs-beside-room.md.
+SiteShape guildSite();
+/// The label that a quarter of the servers has.
+inline constexpr const char *RareLabel = "press";
+
 /// One entry VM and what was last done to its process.
 struct SoakVm {
   std::string Name;
+  std::size_t DataCentre = 0;
   Endpoint Callers;
   Endpoint Readiness;
   Endpoint Peers;
@@ -61,6 +71,8 @@
 
 struct SoakServer {
   ServerEntry Entry;
+  std::size_t DataCentre = 0;
+  double Speed = 1;
   /// Where the stand-in listens; the entry names the relay.
   Endpoint At;
   std::unique_ptr<wire::BackendStandin> Standin;
