A start without an answer is given up while polls are answered

A single task whose starts get no answer stays placed for good, with nothing running, if its server answers polls: only gangs have a time limit for an unconfirmed start, a stall needs a confirmed one, the lists' silence counts for a confirmed start or stop only, and leases are let lapse only if polls fail.

Cause: the link repeats the start without an end, and each attempt renews the 12.7 s in which it may be carried out late.

Ruled out: to release the run by the lists alone, since the start may still be carried out; a limit in the planner, which would churn starts that were never sent.

Change: after 2 s without an answer the link abandons the start, as it does on a leaving server: the run is stopped there, which makes the server refuse it, and the task starts again once the lists confirm that.

What remains: a server that answers polls but neither starts nor stops keeps the task placed.

Evidence: start_without_an_answer_is_given_up_beside_lists failed before (no start elsewhere after 6 s) and passes, 3 of 3. All tests of packages/control pass.

--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -44,6 +44,9 @@
   /// Age up to which a reading of a server's clock is used. A lease is shorter
   /// by the deviation that the clock may have gathered since.
   Millis MaxClockAge{10000};
+  /// A start that has had no answer for this long is given up, if the server
+  /// answers polls. Three attempts, within the 3 s that a job may be idle.
+  Millis StartGiveUpTime{2000};
   /// A server carries out an order without an answer by then, or never.
   Millis MaxOrderDelay{12000};
   /// Added to a lease end, for network delays.
@@ -182,6 +185,8 @@
     /// have been or may still be carried out, even if a later attempt is
     /// refused.
     bool StartUncertain = false;
+    /// When the first attempt of this link got no answer.
+    std::optional<MonoTime> UnansweredSince;
     /// This incarnation has listed the run.
     bool Listed = false;
     /// Attempts that failed before they were sent.
--- a/packages/control/src/server_answers_test.cpp
+++ b/packages/control/src/server_answers_test.cpp
@@ -95,4 +95,12 @@
   BOOST_TEST(state("vm-1") == "completed");
 }
 
+// Guards against a task that stays placed for good: its starts get no answer,
+// while the server's lists, without its run, do.
+BOOST_AUTO_TEST_CASE(start_without_an_answer_is_given_up_beside_lists) {
+  sendDelayedStart();
+  runFor(Millis(6000));
+  BOOST_TEST(Fleet.at("i-2").Started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -243,8 +243,16 @@
                                now);
     Notify.Changed();
   } else if (known) {
-    if (!std::holds_alternative<OrderNotSent>(error))
+    if (!std::holds_alternative<OrderNotSent>(error)) {
       found->second.StartUncertain = true;
+      if (!found->second.UnansweredSince)
+        found->second.UnansweredSince = now;
+    }
+    if (FailedPolls == 0 && found->second.UnansweredSince &&
+        now - *found->second.UnansweredSince >= Options.StartGiveUpTime) {
+      withdrawStart(id, found->second);
+      return;
+    }
     found->second.RetryTimer =
         Loop.at(now + Options.RetryDelay, [this, id] { sendStart(id); });
   }
