--- a/packages/control/include/citrongap/control/pod_controller.h
+++ b/packages/control/include/citrongap/control/pod_controller.h
@@ -53,9 +53,6 @@
   Millis MaxReadGap{750};
   /// Time to wait for a missing entry to return; the platform's bound.
   Millis EntryReturnTimeout{3000};
-  /// Interval in which the time passed is recorded of leases that end, and in
-  /// which a later owner may wait longer than this one.
-  Millis LeaseEndInterval{1000};
   /// Interval of records of speeds. All VMs together append 600 to 1,200
   /// records a second.
   Millis SpeedRecordInterval{1000};
@@ -184,9 +181,6 @@
   /// recorded that it renews none, or of leases that begin with a call for an
   /// earlier incarnation.
   MonoTime inheritedLeaseEnd(const ServerIncarnation &incarnation) const;
-  /// Time after which no other owner has sent a start to the server, as far as
-  /// the store knows.
-  MonoTime inheritedLastStart(const ServerIncarnation &incarnation) const;
   void scheduleRound();
   void runRound();
   void recordRound(PlannedRound round);
@@ -200,12 +194,6 @@
   /// are appended.
   void recordLeaseEnds(std::vector<KeyedRecord> &records,
                        std::vector<ServerIncarnation> &renewable);
-  /// Records how much time has passed of leases that end.
-  void recordLeaseTime(std::vector<KeyedRecord> &records);
-  /// Time since a lease on this server, which is not renewed, can have been
-  /// requested; empty if that is not known to end.
-  std::optional<Millis>
-  sinceLastLease(const ServerIncarnation &incarnation) const;
   // Speeds of the machines: pod_controller_speeds.cpp.
   /// Takes over the stored speeds.
   void restoreSpeeds();
@@ -298,8 +286,6 @@
   /// Since when no lease is renewed on servers of which the store says so.
   /// Invariant: no link renews one there.
   std::map<ServerIncarnation, MonoTime> LeasesEndFrom;
-  /// When the time passed was last recorded for all of them.
-  MonoTime LeaseTimeRecordedAt;
   /// Incarnations without a link of which the next round is to record it.
   std::vector<ServerIncarnation> UnlistedLeaseEnds;
   /// Incarnations that one with an earlier start has replaced. Their start
--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -112,12 +112,10 @@
         LeasesExpired;
   };
 
-  /// No earlier owner sends starts after `othersLastStart`; leases that it has
-  /// begun or renewed end at `othersLeaseEnd`.
   ServerLink(EventLoop &loop, FleetPort &fleet, PodPlanner &planner,
              EventLog &log, ServerIncarnation incarnation, Endpoint at,
-             LinkToken token, LinkOptions options, MonoTime othersLastStart,
-             MonoTime othersLeaseEnd, Events events);
+             LinkToken token, LinkOptions options, MonoTime othersLeaseEnd,
+             Events events);
 
   /// Sends the start, with retries until its outcome is known. Without a recent
   /// reading of the server's clock, polls first.
@@ -144,9 +142,6 @@
   /// The server is unreachable and has runs, all of whose leases end before one
   /// that would be requested now, and renewals are not barred yet.
   bool leaseEndIsDue() const;
-  /// Time since one of its leases can have been requested, while it is
-  /// unreachable and renewals are barred; otherwise empty.
-  std::optional<Millis> sinceLastLease() const;
   /// Leases could be renewed, but for barRenewals().
   bool awaitsRenewals() const {
     return RenewalsBarred && Synchronized && FailedPolls == 0;
--- a/packages/control/include/citrongap/control/work_registry.h
+++ b/packages/control/include/citrongap/control/work_registry.h
@@ -35,10 +35,6 @@
 bool belongsTo(const WorkSpec &spec, const ClientAccountId &account);
 /// Key of the end of the leases on a backend server; see leasesEndFrom().
 std::string leaseEndKey(const BackendServerId &id);
-/// Value of such a record: the start of the incarnation, with a leading zero
-/// for each 100 ms that have passed since the latest time at which a lease may
-/// have been renewed. Earlier builds read the same start.
-std::string leaseEndValue(std::int64_t startedAtMs, Millis passed);
 /// Key by which an entry VM states that it writes and withdraws those.
 std::string leaseEndWriterKey(const EntryVmId &id);
 /// The addresses of peers and holders are the keys after this one.
@@ -97,13 +93,10 @@
   std::size_t queuedJobs(const QueueId &queue) const;
 
   /// Since when no lease on this server has been renewed, at the latest, as an
-  /// owner has recorded and none has withdrawn: when that was read, or earlier
-  /// by the time passed that the record states; empty without such a record.
+  /// owner has recorded and none has withdrawn; empty without such a record.
   /// The end of time while an entry VM of an earlier build, which withdraws
   /// none, may own the pod.
   std::optional<MonoTime> leasesEndFrom(const ServerIncarnation &server) const;
-  /// Whether all known entry VMs write and withdraw such records.
-  bool allWriteLeaseEnds() const { return AllWriteSince.has_value(); }
   /// Servers of which such a record was read before this time.
   std::vector<BackendServerId> leaseEndsReadBefore(MonoTime at) const;
   /// Stored ends of runs of the job, by key; see stored_run_ends.h. Empty
@@ -140,8 +133,6 @@
   struct LeaseEnd {
     std::int64_t StartedAtMs = 0;
     MonoTime ReadAt;
-    /// By the time passed that the record states, if any.
-    MonoTime EndsFrom = MonoTime::max();
   };
   std::map<BackendServerId, LeaseEnd> LeaseEnds;
   std::map<std::size_t, std::string> SpeedRecordOfGroup;
--- a/packages/control/src/entry_site.h
+++ b/packages/control/src/entry_site.h
@@ -137,14 +137,13 @@
       out.Controller.OwnershipTimeout = Millis(150);
       out.Controller.WaitReviewInterval = Millis(10);
       out.Controller.LateOrderAge = Millis(200);
-      out.Controller.LeaseEndInterval = Millis(50);
       out.Controller.ReportTimeout = site.ReportTimeout;
       out.Controller.MaxReadGap = site.MaxReadGap;
       out.Controller.MaxListAge = Millis(200);
       out.Controller.Link.AnswerTimeout = Millis(40);
       out.Controller.Link.RetryDelay = Millis(10);
       out.Controller.Link.MaxLease = site.MaxLease;
-      out.Controller.Link.MaxOrderDelay = site.MaxOrderDelay;
+      out.Controller.Link.MaxOrderDelay = Millis(400);
       out.Controller.Link.LeaseEndMargin = Millis(20);
       out.Controller.Link.MaxClockAge = site.MaxClockAge;
       return out;
@@ -165,9 +164,6 @@
   Millis ReportTimeout{100};
   /// Longest gap between their reads of the server list that hides no outage.
   Millis MaxReadGap{100};
-  /// Time by which a server carries out an order without an answer, for entry
-  /// VMs that are added later.
-  Millis MaxOrderDelay{400};
   /// Interval of reads of the jobs topic, for entry VMs that are added later.
   Millis ReaderInterval{5};
   /// Interval in which an owner removes ended jobs, for entry VMs that are
--- a/packages/control/src/pod_controller_servers.cpp
+++ b/packages/control/src/pod_controller_servers.cpp
@@ -146,8 +146,7 @@
   auto link = std::make_unique<ServerLink>(
       Loop, Fleet, *Planner, Log, entry.Incarnation,
       Endpoint{entry.Ip, entry.Port}, tokenFor(entry.Incarnation.Id),
-      Options.Link, inheritedLastStart(entry.Incarnation),
-      inheritedLeaseEnd(entry.Incarnation), linkEvents());
+      Options.Link, inheritedLeaseEnd(entry.Incarnation), linkEvents());
   ServerLink &added = *link;
   if (LeasesEndFrom.contains(entry.Incarnation))
     added.barRenewals();
@@ -332,16 +331,6 @@
   return late == LateLeaseEnds.end() ? end : std::max(end, late->second);
 }
 
-MonoTime
-PodController::inheritedLastStart(const ServerIncarnation &incarnation) const {
-  const auto from = LeasesEndFrom.find(incarnation);
-  if (from == LeasesEndFrom.end() || LateLeaseEnds.contains(incarnation))
-    return MonoTime::max();
-  // The owner before the one that barred starts may not have known for that
-  // long that it was replaced.
-  return from->second + Options.OwnershipTimeout + Options.Link.AnswerTimeout;
-}
-
 void PodController::readLeaseEnd(const ServerIncarnation &incarnation) {
   if (const auto from = Registry.leasesEndFrom(incarnation))
     LeasesEndFrom.try_emplace(
@@ -362,36 +351,10 @@
   }
   for (const ServerIncarnation &it : ending) {
     LeasesEndFrom.emplace(it, monoNow());
-    records.push_back(
-        {leaseEndKey(it.Id), leaseEndValue(it.StartedAtMs, Millis(0))});
-  }
-  if (Registry.allWriteLeaseEnds())
-    recordLeaseTime(records);
-}
-
-void PodController::recordLeaseTime(std::vector<KeyedRecord> &records) {
-  const MonoTime now = monoNow();
-  if (now - LeaseTimeRecordedAt < Options.LeaseEndInterval)
-    return;
-  LeaseTimeRecordedAt = now;
-  for (const auto &[incarnation, from] : LeasesEndFrom) {
-    const auto passed = sinceLastLease(incarnation);
-    if (passed && *passed > Millis(0))
-      records.push_back({leaseEndKey(incarnation.Id),
-                         leaseEndValue(incarnation.StartedAtMs, *passed)});
+    records.push_back({leaseEndKey(it.Id), std::to_string(it.StartedAtMs)});
   }
 }
 
-std::optional<Millis>
-PodController::sinceLastLease(const ServerIncarnation &incarnation) const {
-  if (const auto link = Links.find(incarnation); link != Links.end())
-    return link->second->sinceLastLease();
-  if (hasEnded(incarnation) || Planner->runsPlacedOn(incarnation).empty())
-    return std::nullopt;
-  return Options.Link.latestLeaseEnd(monoNow()) -
-         inheritedLeaseEnd(incarnation);
-}
-
 void PodController::releaseUnlistedRuns() {
   if (!ServersReader.loaded())
     return;
--- a/packages/control/src/server_link.cpp
+++ b/packages/control/src/server_link.cpp
@@ -36,15 +36,13 @@
 ServerLink::ServerLink(EventLoop &loop, FleetPort &fleet, PodPlanner &planner,
                        EventLog &log, ServerIncarnation incarnation,
                        Endpoint at, LinkToken token, LinkOptions options,
-                       MonoTime othersLastStart, MonoTime othersLeaseEnd,
-                       Events events)
+                       MonoTime othersLeaseEnd, Events events)
     : Loop(loop), Fleet(fleet), Planner(planner), Log(log),
       Incarnation(std::move(incarnation)), Address(std::move(at)),
       Token(token.Value), TokenIsHighest(token.IsHighest), Options(options),
       Notify(std::move(events)), OthersLeaseEnd(othersLeaseEnd) {
   for (StartOrder &it : Planner.runsPlacedOn(Incarnation)) {
-    LateStarts[{it.Task, it.Run}] =
-        std::min(monoNow(), othersLastStart) + Options.MaxOrderDelay;
+    LateStarts[{it.Task, it.Run}] = monoNow() + Options.MaxOrderDelay;
     TrackedRun &tracked = TrackedRuns[{it.Task, it.Run}];
     tracked.Order = std::move(it);
     tracked.StartUncertain = true;
@@ -104,12 +102,6 @@
          latestLeaseEnd() <= Options.latestLeaseEnd(monoNow());
 }
 
-std::optional<Millis> ServerLink::sinceLastLease() const {
-  if (!RenewalsBarred || reachable() || TrackedRuns.empty())
-    return std::nullopt;
-  return Options.latestLeaseEnd(monoNow()) - latestLeaseEnd();
-}
-
 void ServerLink::allowRenewals() {
   if (!std::exchange(RenewalsBarred, false))
     return;
--- a/packages/control/src/work_registry.cpp
+++ b/packages/control/src/work_registry.cpp
@@ -22,10 +22,6 @@
 /// account follows.
 constexpr std::string_view EarlyMark = "?";
 
-constexpr Millis LeaseTimeUnit{100};
-/// Longer than any lease.
-constexpr std::int64_t MaxLeaseTimeUnits = 300;
-
 } // namespace
 
 std::string specKey(const WorkId &id) { return "j/" + id.str(); }
@@ -38,12 +34,6 @@
 std::string peerKey(const EntryVmId &id) { return "v/" + id.str(); }
 std::string holderKey(const EntryVmId &id) { return "w/" + id.str(); }
 std::string leaseEndKey(const BackendServerId &id) { return "l/" + id.str(); }
-std::string leaseEndValue(std::int64_t startedAtMs, Millis passed) {
-  const auto zeros =
-      std::clamp<std::int64_t>(passed / LeaseTimeUnit, 0, MaxLeaseTimeUnits);
-  return std::string(static_cast<std::size_t>(zeros), '0') +
-         std::to_string(startedAtMs);
-}
 std::string leaseEndWriterKey(const EntryVmId &id) { return "m/" + id.str(); }
 std::string keyBeforePeers() { return "u"; }
 
@@ -133,17 +123,11 @@
   if (!record.Value)
     return;
   const std::string &text = *record.Value;
-  LeaseEnd end;
-  end.ReadAt = monoNow();
+  LeaseEnd end{0, monoNow()};
   const auto read =
       std::from_chars(text.data(), text.data() + text.size(), end.StartedAtMs);
-  if (read.ec != std::errc() || read.ptr != text.data() + text.size())
-    return;
-  const auto zeros = static_cast<std::int64_t>(
-      std::min(text.find_first_not_of('0'), text.size() - 1));
-  if (zeros > 0)
-    end.EndsFrom = end.ReadAt - zeros * LeaseTimeUnit;
-  LeaseEnds.emplace(id, end);
+  if (read.ec == std::errc() && read.ptr == text.data() + text.size())
+    LeaseEnds.emplace(id, end);
 }
 
 void WorkRegistry::applySpeeds(const KeyedRecord &record) {
@@ -190,12 +174,8 @@
   const auto it = LeaseEnds.find(server.Id);
   if (it == LeaseEnds.end() || it->second.StartedAtMs != server.StartedAtMs)
     return std::nullopt;
-  if (!AllWriteSince)
-    return MonoTime::max();
-  // An owner of an earlier build may have renewed leases until then, but the
-  // time passed is written once there is none.
-  return std::min(std::max(it->second.ReadAt, *AllWriteSince),
-                  it->second.EndsFrom);
+  // An owner of an earlier build may have renewed leases until then.
+  return std::max(it->second.ReadAt, AllWriteSince.value_or(MonoTime::max()));
 }
 
 std::vector<BackendServerId>
