A failed early probe does not prolong the quarantine

A hopeless lasting job would have kept the only server with its label in quarantine for 320 s, for all other work, within seconds.

Change: the failure of a probe that was not due leaves the due time as it is. failed_early_probes_do_not_prolong_the_quarantine failed before.

--- a/packages/policy/include/citrongap/policy/server_health.h
+++ b/packages/policy/include/citrongap/policy/server_health.h
@@ -74,7 +74,9 @@
   /// long ago.
   bool restedFor(const BackendServerId &server, Millis span,
                  MonoTime now) const;
-  void startProbe(const BackendServerId &server);
+  /// A probe that starts before it is due does not prolong the quarantine if it
+  /// fails.
+  void startProbe(const BackendServerId &server, MonoTime now);
   /// Ends the quarantine without a probe. The next failure begins the next one,
   /// the next success forgets this one.
   void startProbation(const BackendServerId &server, MonoTime now);
@@ -98,6 +100,7 @@
     std::optional<MonoTime> LastSuccessAt;
     bool Quarantined = false;
     bool Probing = false;
+    bool ProbesEarly = false;
     MonoTime ProbeAt;
     /// See startProbation(); ends with the next success or failure.
     bool OnProbation = false;
--- a/packages/policy/src/health_test.cpp
+++ b/packages/policy/src/health_test.cpp
@@ -59,12 +59,12 @@
     health.recordFailure(server(0), Start);
   BOOST_TEST(!health.probeDue(server(0), Start + Seconds(29)));
   BOOST_TEST(health.probeDue(server(0), Start + Seconds(30)));
-  health.startProbe(server(0));
+  health.startProbe(server(0), Start + Seconds(30));
   BOOST_TEST(!health.probeDue(server(0), Start + Seconds(31)));
   health.recordFailure(server(0), Start + Seconds(31));
   BOOST_TEST(!health.probeDue(server(0), Start + Seconds(90)));
   BOOST_TEST(health.probeDue(server(0), Start + Seconds(91)));
-  health.startProbe(server(0));
+  health.startProbe(server(0), Start + Seconds(91));
   health.recordSuccess(server(0), Start + Seconds(92));
   BOOST_TEST(!health.quarantined(server(0)));
   BOOST_TEST(health.quarantinedCount() == 0U);
--- a/packages/policy/src/pod_state.cpp
+++ b/packages/policy/src/pod_state.cpp
@@ -99,7 +99,7 @@
   }
   for (const PlacementPart &part : run->Where.Parts)
     if (Health.quarantined(part.Server))
-      Health.startProbe(part.Server);
+      Health.startProbe(part.Server, now);
   const RunningJob &added = addRun(std::move(run));
   out.emplace_back(StartJob{added.job(), added.Where});
 }
--- a/packages/policy/src/server_health.cpp
+++ b/packages/policy/src/server_health.cpp
@@ -116,7 +116,9 @@
   record.FailedAt = now;
   record.LastCause = cause;
   if (record.Quarantined) {
-    if (record.Probing)
+    if (record.Probing && record.ProbesEarly)
+      record.Probing = false;
+    else if (record.Probing)
       quarantine(record, now);
     return false;
   }
@@ -191,10 +193,12 @@
          now - it->second.FailedAt >= span;
 }
 
-void ServerHealth::startProbe(const BackendServerId &server) {
+void ServerHealth::startProbe(const BackendServerId &server, MonoTime now) {
   const auto it = Records.find(server);
-  if (it != Records.end() && it->second.Quarantined)
-    it->second.Probing = true;
+  if (it == Records.end() || !it->second.Quarantined)
+    return;
+  it->second.Probing = true;
+  it->second.ProbesEarly = now < it->second.ProbeAt;
 }
 
 void ServerHealth::startProbation(const BackendServerId &server, MonoTime now) {
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -273,7 +273,7 @@
     slot.Free -= spec.allocation();
     task.Probe = Health.quarantined(slot.Entry.Incarnation.Id);
     if (task.Probe)
-      Health.startProbe(slot.Entry.Incarnation.Id);
+      Health.startProbe(slot.Entry.Incarnation.Id, now);
     const TaskName name{unit.Work, unit.Occurrence, unit.Step, index};
     Placed[task.Server].insert(name);
     expectRelease(name, now);
--- a/packages/workload/src/quarantine_test.cpp
+++ b/packages/workload/src/quarantine_test.cpp
@@ -254,4 +254,23 @@
     BOOST_TEST(planAfter(Millis(100)).Starts.empty());
 }
 
+// Guards against a server that a hopeless lasting job keeps in quarantine.
+BOOST_AUTO_TEST_CASE(failed_early_probes_do_not_prolong_the_quarantine) {
+  addTwoServers();
+  quarantineFirst();
+  WorkSpec hopeless = jobOnFirst("hopeless", 1, 8, false);
+  hopeless.LongRunning = true;
+  submit(hopeless);
+  const Millis wait = PlannerOptions{}.MaxIdleTime;
+  for (int n = 0; n < 3; ++n) {
+    const PlannedRound probe = planAfter(wait);
+    BOOST_REQUIRE(probe.Starts.size() == 1U);
+    confirm(probe);
+    end(probe.Starts[0], RunOutcome::Failed);
+  }
+  Planner.cancel(WorkId("hopeless"), WallMs);
+  submit(jobOnFirst("a", 1, 1, false));
+  BOOST_TEST(planAfter(Due - 3 * wait).Starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
