--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -186,8 +186,10 @@
   allocate(view, at, specOf(unit).allocation());
   start(unit, view, at, local, now, round);
   for (const std::size_t it : at)
-    if (view[it].ProbeOnly)
+    if (view[it].ProbeOnly) {
       view[it].Free = {};
+      view[it].Kept = {};
+    }
 }
 
 std::vector<std::uint32_t>
--- a/packages/workload/src/quarantine_test.cpp
+++ b/packages/workload/src/quarantine_test.cpp
@@ -273,4 +273,23 @@
   BOOST_TEST(planAfter(Due - 3 * wait).Starts.size() == 1U);
 }
 
+// Guards against two probes in one round, by room that was kept on the server.
+BOOST_AUTO_TEST_CASE(kept_room_of_a_probed_server_is_lent_once) {
+  addTwoServers();
+  submit(jobOnFirst("works", 1, 4, false));
+  confirm(plan());
+  for (const char *id : {"bad-1", "bad-2"}) {
+    submit(jobOnFirst(id, 1, 4, false));
+    const PlannedRound round = plan();
+    BOOST_REQUIRE(round.Starts.size() == 1U);
+    end(round.Starts[0], RunOutcome::Failed);
+    Planner.cancel(WorkId(id), WallMs);
+  }
+  submit(jobOnFirst("gang", 1, 8, true));
+  for (const char *id : {"small-1", "small-2"})
+    submit(jobOnFirst(id, 1, 1, false));
+  BOOST_TEST(planAfter(Due - Millis(100)).Starts.empty());
+  BOOST_TEST(planAfter(Millis(100)).Starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
