Lasting work takes servers that are reserved for arrivals

The bound on lasting work holds at any time, and these servers may be the only ones with its label.

Change: lasting work that is overdue has access to all reserved servers, other work as before. lasting_work_takes_a_server_reserved_for_arrivals failed before. Three comments say what they mean more exactly.

--- a/packages/control/include/citrongap/control/server_link.h
+++ b/packages/control/include/citrongap/control/server_link.h
@@ -44,8 +44,8 @@
   /// Age up to which a reading of a server's clock is used. A lease is shorter
   /// by the deviation that the clock may have gathered since.
   Millis MaxClockAge{10000};
-  /// A start that has had no answer for this long is given up, if the server
-  /// answers polls. Three attempts, within the 3 s that a job may be idle.
+  /// A start is given up by the first attempt that ends without an answer this
+  /// long after the first one did, if the server answers polls.
   Millis StartGiveUpTime{2000};
   /// A server carries out an order without an answer by then, or never.
   Millis MaxOrderDelay{12000};
--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -456,11 +456,14 @@
   /// if it doesn't.
   std::optional<MonoTime> idleSince(const Unit &unit);
   /// Packs the request of an overdue unit, also into room that is kept for
-  /// gangs, or reserved for work that has waited for long.
+  /// gangs, or reserved for work that has waited for long; for lasting work, of
+  /// all that is reserved.
   std::optional<std::vector<std::size_t>>
-  packOverdue(std::vector<PackingServer> &view, PackingRequest request);
+  packOverdue(std::vector<PackingServer> &view, PackingRequest request,
+              bool lasting);
   /// Whether it would find room for the request twice over.
-  bool hasRoomTwice(std::vector<PackingServer> &view, PackingRequest request);
+  bool hasRoomTwice(std::vector<PackingServer> &view, PackingRequest request,
+                    bool lasting);
   // Pace of the runs: pod_planner_pace.cpp.
   /// A run reports its progress, 100 when it has ended as done.
   void measurePace(const TaskName &task, TaskRecord &record, int percent,
@@ -618,8 +621,8 @@
     MonoTime Until;
   };
   std::map<StepName, SpeedWait> SpeedWaits;
-  /// Services of which under half of the capacity has been in use, and since
-  /// when.
+  /// Services of which under half of the accelerators, or of all cores with an
+  /// accelerator as 8, have been in use, and since when.
   std::map<std::string, MonoTime> QuietSince;
   std::vector<IdleStep> IdleSteps;
   MonoTime IdleReviewedAt;
--- a/packages/workload/include/citrongap/workload/vector_packing.h
+++ b/packages/workload/include/citrongap/workload/vector_packing.h
@@ -46,8 +46,8 @@
   /// A run completed or made progress here recently, and none failed since.
   bool SucceededRecently = false;
   AccessLevel ReservedFor = AccessLevel::Any;
-  /// Kept for waiting gangs. Not part of `Free`, which is negative where a gang
-  /// waits for the end of runs.
+  /// Kept for waiting gangs; already deducted from `Free`, which is negative
+  /// where a gang waits for the end of runs.
   Resources Kept{};
   /// Relative to the median machine. Empty if it is unknown, or while speeds
   /// are not used.
--- a/packages/workload/src/pod_planner_idle.cpp
+++ b/packages/workload/src/pod_planner_idle.cpp
@@ -74,8 +74,10 @@
 
 std::optional<std::vector<std::size_t>>
 PodPlanner::packOverdue(std::vector<PackingServer> &view,
-                        PackingRequest request) {
-  request.Access = std::max(request.Access, AccessLevel::LongWaiting);
+                        PackingRequest request, bool lasting) {
+  // The bound on lasting work holds beside arrivals of urgent work as well.
+  request.Access = std::max(request.Access, lasting ? AccessLevel::Urgent
+                                                    : AccessLevel::LongWaiting);
   if (OverdueOutcomes.find(request) == false)
     return std::nullopt;
   for (PackingServer &it : view)
@@ -89,9 +91,9 @@
 }
 
 bool PodPlanner::hasRoomTwice(std::vector<PackingServer> &view,
-                              PackingRequest request) {
+                              PackingRequest request, bool lasting) {
   request.Count *= 2;
-  return packOverdue(view, std::move(request)).has_value();
+  return packOverdue(view, std::move(request), lasting).has_value();
 }
 
 IdleStep PodPlanner::reviewIdleStep(const Unit &unit,
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -139,11 +139,12 @@
   auto found = tryPackBySpeed(unit, view, local);
   const PackingRequest anywhere =
       hasLocality ? requestOf(unit, view, false) : local;
+  const bool lasting = Works.at(unit.Work).Spec.LongRunning;
   const auto idle = found ? std::nullopt : idleSince(unit);
   const bool overdue = idle && now - *idle >= Options.MaxIdleTime &&
-                       hasRoomTwice(view, anywhere);
+                       hasRoomTwice(view, anywhere, lasting);
   if (overdue)
-    found = packOverdue(view, local);
+    found = packOverdue(view, local, lasting);
   const bool isLocal = found.has_value();
   if (!found && hasLocality &&
       (now - unit.WaitingSince >= localityWait(unit) ||
@@ -151,7 +152,7 @@
     found = tryPackBySpeed(unit, view, anywhere);
   if (!found && overdue && hasLocality &&
       now - *idle >= Options.MaxIdleTimeNearData)
-    found = packOverdue(view, anywhere);
+    found = packOverdue(view, anywhere, lasting);
   if (!found)
     return false;
   startAt(unit, *found, isLocal, view, now, round);
--- a/packages/workload/src/reservation_test.cpp
+++ b/packages/workload/src/reservation_test.cpp
@@ -229,4 +229,30 @@
   BOOST_TEST(startsInTime() == 1U);
 }
 
+// Guards against lasting work that is away beside a server that is reserved for
+// arrivals of urgent work, as the only other one with its label is full.
+BOOST_AUTO_TEST_CASE(lasting_work_takes_a_server_reserved_for_arrivals) {
+  addServers(8);
+  for (int n = 0; n < 8; ++n) {
+    ServerEntry entry = Planner.servers().find(incarnation(n).Id)->Entry;
+    entry.Labels.emplace_back(n < 2 ? "rare" : "usual");
+    Planner.putServer(entry, Now);
+  }
+  for (int n = 0; n < 7; ++n) {
+    WorkSpec urgent = job("urgent-" + std::to_string(n), 1, 8, false, 0);
+    urgent.Steps[0].RequiredLabel = n == 0 ? "rare" : "usual";
+    submit(urgent);
+  }
+  confirm(plan());
+  WorkSpec lasting = job("lasting", 1, 1, false);
+  lasting.Steps[0].RequiredLabel = "rare";
+  lasting.LongRunning = true;
+  submit(lasting);
+  BOOST_TEST(plan().Starts.empty());
+  Millis waited(100);
+  while (waited < LongestIdle && planAfter(Millis(100)).Starts.empty())
+    waited += Millis(100);
+  BOOST_TEST(waited.count() < LongestIdle.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
