--- a/packages/workload/include/citrongap/workload/pod_planner.h
+++ b/packages/workload/include/citrongap/workload/pod_planner.h
@@ -418,6 +418,8 @@
   /// Passes over the occurrences that are done, and removes their steps.
   static void passDoneOccurrences(PlannedWork &work);
   void addDueOccurrences(PlannedWork &work, std::int64_t wallMs, MonoTime now);
+  /// Clears what is kept of the round before.
+  void forgetRound();
   std::vector<Unit> collectWaiting(MonoTime now, std::int64_t wallMs);
   void collectStep(const WorkId &id, PlannedWork &work, std::uint32_t k,
                    std::uint32_t step, MonoTime now, std::int64_t wallMs,
--- a/packages/workload/src/pod_planner_round.cpp
+++ b/packages/workload/src/pod_planner_round.cpp
@@ -289,6 +289,14 @@
   Changed.insert(unit.Work);
 }
 
+void PodPlanner::forgetRound() {
+  RoundOutcomes = {};
+  EmptyOutcomes = {};
+  OverdueOutcomes = {};
+  RoundCandidates.clear();
+  RoundWithoutRoom.clear();
+}
+
 PlannedRound PodPlanner::plan(MonoTime now, std::int64_t wallMs) {
   PlannedRound round;
   for (const auto &[id, recordFrom] : UnrecordedBegins)
@@ -298,12 +306,8 @@
     return now - it.At >= Options.ArrivalWindow;
   });
   completeDoneWork(wallMs);
-  RoundOutcomes = {};
-  EmptyOutcomes = {};
-  OverdueOutcomes = {};
+  forgetRound();
   updateQuietServices(now);
-  RoundCandidates.clear();
-  RoundWithoutRoom.clear();
   if (now - SweptAt >= Options.SweepInterval) {
     SweptAt = now;
     stopStalledRuns(now);
